--- /dev/null
+++ b/crates/jackdawctl/src/standin.rs
@@ -0,0 +1,49 @@
+//! `stand-in`: a stand-in as a process of its own.
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::Duration;
+
+use jackdawtally_standins::engine::{Engine, Options};
+use jackdawtally_standins::ledger::Ledger;
+use jackdawtally_standins::platform::Platform;
+use tokio::net::TcpListener;
+
+use crate::cli::{self, StandIn};
+
+/// Runs the stand-in until it is ended.
+pub async fn run(options: StandIn) -> ExitCode {
+    let Ok(listen) = options.listen.parse::<SocketAddr>() else {
+        return cli::fail(&format!("{} isn't an address", options.listen));
+    };
+    let result = match options.system.as_str() {
+        "platform" => platform(listen).await,
+        "backend-server" => backend_server(listen, &options).await,
+        other => return cli::fail(&format!("{other} isn't platform or backend-server")),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => cli::fail(&format!("can't listen on {listen}: {error}")),
+    }
+}
+
+async fn platform(listen: SocketAddr) -> std::io::Result<()> {
+    let listener = TcpListener::bind(listen).await?;
+    println!("ready address={}", listener.local_addr()?);
+    Platform::new(1).serve(listener).await;
+    Ok(())
+}
+
+async fn backend_server(listen: SocketAddr, options: &StandIn) -> std::io::Result<()> {
+    let engine = Options {
+        name: "stand-in".into(),
+        model: options.model.as_str().into(),
+        slots: options.slots.max(1),
+        step: Duration::from_millis(options.step_ms.max(1)),
+        seed: 1,
+    };
+    let engine = Engine::start(engine, listen, Arc::new(Ledger::default())).await?;
+    println!("ready address={}", engine.address);
+    std::future::pending().await
+}
--- /dev/null
+++ b/crates/router/src/fleet.rs
@@ -0,0 +1,316 @@
+//! The links of this instance: whom to connect to, what goes to whom, and the floors heard.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use smol_str::SmolStr;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
+
+use crate::claims::{self, Operation, Outcome};
+use crate::frame::{Floor, Frame};
+use crate::membership::{Facts, InstanceId, Life, Membership};
+use crate::node;
+use crate::object::Level;
+use crate::placement;
+
+/// Size of a fleet in which everyone is linked with everyone.
+const FULL_MESH: usize = 10;
+/// Links that an instance of a larger fleet opens to others of its data centre, beside its two
+/// neighbours on the ring.
+const EXTRA_LINKS: usize = 2;
+/// Time that a floor holds without being heard again.
+const FLOOR_TTL: Duration = Duration::from_millis(1_500);
+/// Frames that may wait for a slow peer; then its link is closed.
+const BACKLOG: usize = 4_096;
+/// Bound on an operation at the instance that tends its shard.
+const CLAIM_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// A link that is up.
+struct Link {
+    frames: mpsc::Sender<Frame>,
+    facts: Facts,
+    dialed: bool,
+    serial: u64,
+}
+
+#[derive(Default)]
+struct State {
+    links: HashMap<InstanceId, Link>,
+    floors: HashMap<SmolStr, (Level, Instant)>,
+    calls: HashMap<u64, oneshot::Sender<Outcome>>,
+    serial: u64,
+}
+
+/// The links of one instance.
+#[derive(Default)]
+pub struct Fleet {
+    state: Mutex<State>,
+}
+
+/// A registered link's place; taken out again when the link ends.
+#[derive(Clone, Debug)]
+pub struct Registration {
+    id: InstanceId,
+    serial: u64,
+}
+
+impl Fleet {
+    /// Puts a new link in place. Of two links between the same pair, the one that the instance with the
+    /// lower name dialed stays, so that both sides keep the same one.
+    pub fn register(
+        &self,
+        own: &str,
+        facts: &Facts,
+        dialed: bool,
+    ) -> Option<(Registration, mpsc::Receiver<Frame>)> {
+        let mut state = self.lock();
+        if let Some(existing) = state.links.get(&facts.id) {
+            let renewed = facts.incarnation > existing.facts.incarnation;
+            let preferred = dialed == (own < facts.id.as_str());
+            let same_side = existing.dialed == dialed;
+            if !renewed && !same_side && !preferred && !existing.frames.is_closed() {
+                return None;
+            }
+        }
+        state.serial += 1;
+        let serial = state.serial;
+        let (frames, receiver) = mpsc::channel(BACKLOG);
+        let link = Link {
+            frames,
+            facts: facts.clone(),
+            dialed,
+            serial,
+        };
+        state.links.insert(facts.id.clone(), link);
+        let registration = Registration {
+            id: facts.id.clone(),
+            serial,
+        };
+        Some((registration, receiver))
+    }
+
+    /// Takes an ended link out; tells whether the peer has no other.
+    pub fn unregister(&self, registration: &Registration) -> bool {
+        let mut state = self.lock();
+        let current = state.links.get(&registration.id);
+        let last = current.is_some_and(|l| l.serial == registration.serial);
+        if last {
+            state.links.remove(&registration.id);
+        }
+        last
+    }
+
+    /// How many links are up.
+    #[must_use]
+    pub fn links(&self) -> usize {
+        self.lock().links.len()
+    }
+
+    /// The instances that are linked.
+    #[must_use]
+    pub fn linked(&self) -> BTreeSet<InstanceId> {
+        self.lock().links.keys().cloned().collect()
+    }
+
+    /// Sends a frame to every linked instance except `but`.
+    pub fn broadcast(&self, frame: &Frame, but: Option<&str>) {
+        let mut state = self.lock();
+        state.links.retain(|id, link| {
+            but == Some(id.as_str()) || link.frames.try_send(frame.clone()).is_ok()
+        });
+    }
+
+    /// Sends a frame to one instance, if it is linked.
+    pub fn send(&self, id: &str, frame: Frame) {
+        if let Some(link) = self.lock().links.get(id) {
+            // A link that can't keep up is closed by the next broadcast.
+            let _ = link.frames.try_send(frame);
+        }
+    }
+
+    /// The floor that other instances ask for in a pool.
+    #[must_use]
+    pub fn floor(&self, pool: &str) -> Level {
+        let now = Instant::now();
+        let state = self.lock();
+        let floor = state.floors.get(pool).filter(|(_, until)| *until > now);
+        floor.map_or(Level::MAX, |(level, _)| *level)
+    }
+
+    /// Takes in floors from a peer.
+    pub fn heard(&self, floors: &[Floor]) {
+        let now = Instant::now();
+        let mut state = self.lock();
+        for floor in floors {
+            let ttl = Duration::from_millis(floor.ttl_ms.into()).min(FLOOR_TTL);
+            let until = now + ttl;
+            let known = state
+                .floors
+                .get(&floor.pool)
+                .filter(|(_, until)| *until > now);
+            let replaces = match known {
+                None => true,
+                Some((level, old)) => {
+                    floor.level < *level || (floor.level == *level && until > *old)
+                }
+            };
+            if replaces {
+                state
+                    .floors
+                    .insert(floor.pool.clone(), (floor.level, until));
+            }
+        }
+    }
+
+    /// The floors to pass on: those that this instance asks for, and those heard, for the rest of
+    /// their time.
+    #[must_use]
+    pub fn floors(&self, wanted: Vec<(SmolStr, Level)>) -> Vec<Floor> {
+        let now = Instant::now();
+        let mut floors: BTreeMap<SmolStr, Floor> = BTreeMap::new();
+        for (pool, (level, until)) in &self.lock().floors {
+            if *until > now {
+                let floor = Floor {
+                    pool: pool.clone(),
+                    level: *level,
+                    ttl_ms: millis(*until - now),
+                };
+                floors.insert(pool.clone(), floor);
+            }
+        }
+        for (pool, level) in wanted {
+            let own = Floor {
+                pool: pool.clone(),
+                level,
+                ttl_ms: millis(FLOOR_TTL),
+            };
+            let entry = floors.entry(pool).or_insert_with(|| own.clone());
+            if own.level <= entry.level {
+                *entry = own;
+            }
+        }
+        floors.into_values().collect()
+    }
+
+    /// Does an operation at the instance that tends its shard; none when that is this instance, or it
+    /// doesn't answer.
+    pub async fn claim(&self, membership: &Membership, operation: Operation) -> Option<Outcome> {
+        let tender = tender(membership, claims::shard_of(&operation.key))?;
+        let call = node::random_id();
+        let (reply, outcome) = oneshot::channel();
+        {
+            let mut state = self.lock();
+            let link = state.links.get(&tender)?;
+            link.frames
+                .try_send(Frame::Claim { call, operation })
+                .ok()?;
+            state.calls.insert(call, reply);
+        }
+        let result = tokio::time::timeout(CLAIM_TIMEOUT, outcome).await;
+        self.lock().calls.remove(&call);
+        match result {
+            Ok(Ok(outcome)) if outcome != Outcome::Unconfirmed => Some(outcome),
+            _ => None,
+        }
+    }
+
+    /// Takes in the outcome of an operation.
+    pub fn replied(&self, call: u64, outcome: Outcome) {
+        if let Some(reply) = self.lock().calls.remove(&call) {
+            let _ = reply.send(outcome);
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn millis(duration: Duration) -> u32 {
+    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
+}
+
+/// The other instance that tends a shard, if it isn't this one. Which one it is only saves conflicts.
+fn tender(membership: &Membership, shard: usize) -> Option<InstanceId> {
+    let own = membership.own().id;
+    let running = membership.running();
+    let tender = running
+        .into_iter()
+        .max_by_key(|f| placement::rendezvous(shard as u64, &f.id))?;
+    (tender.id != own).then_some(tender.id)
+}
+
+/// Whether this instance is one of the `count` that watch the platform's log for all.
+#[must_use]
+pub fn watches(membership: &Membership, count: usize) -> bool {
+    let own = membership.own().id;
+    let mut running = membership.running();
+    running.sort_by_key(|f| placement::rendezvous(u64::MAX, &f.id));
+    running.iter().take(count).any(|f| f.id == own)
+}
+
+/// The instances to be linked with: all in a small fleet; else the two neighbours on a ring through
+/// the data centre, a few more of it, and one of each other data centre.
+#[must_use]
+pub fn wanted(membership: &Membership) -> Vec<(InstanceId, SocketAddr)> {
+    let own = membership.own();
+    let mut others = membership.running();
+    others.retain(|f| f.id != own.id);
+    if others.len() > FULL_MESH {
+        others = bounded(&own, &others);
+    }
+    others.into_iter().map(|f| (f.id, f.peers)).collect()
+}
+
+fn bounded(own: &Facts, others: &[Facts]) -> Vec<Facts> {
+    let place = |f: &Facts| placement::hash(f.id.as_bytes());
+    let edge = |f: &Facts| {
+        let (a, b) = if own.id < f.id { (own, f) } else { (f, own) };
+        placement::rendezvous(place(a), &b.id)
+    };
+    let mut chosen: BTreeMap<InstanceId, Facts> = BTreeMap::new();
+    let mut by_centre: BTreeMap<SmolStr, Vec<&Facts>> = BTreeMap::new();
+    for facts in others {
+        by_centre
+            .entry(facts.data_centre.clone())
+            .or_default()
+            .push(facts);
+    }
+    for (centre, mut members) in by_centre {
+        members.sort_by_key(|f| edge(f));
+        let near = if centre == own.data_centre {
+            EXTRA_LINKS
+        } else {
+            1
+        };
+        let mut picked: Vec<&Facts> = members.iter().take(near).copied().collect();
+        if centre == own.data_centre {
+            // Going round the ring, the nearest in each direction.
+            picked.extend(
+                members
+                    .iter()
+                    .min_by_key(|f| place(f).wrapping_sub(place(own))),
+            );
+            picked.extend(
+                members
+                    .iter()
+                    .min_by_key(|f| place(own).wrapping_sub(place(f))),
+            );
+        }
+        for facts in picked {
+            chosen.insert(facts.id.clone(), facts.clone());
+        }
+    }
+    chosen.into_values().collect()
+}
+
+/// Instances that were lost sight of and may be back, to be tried now and then.
+#[must_use]
+pub fn lost(membership: &Membership) -> Vec<(InstanceId, SocketAddr)> {
+    let mut all = membership.all();
+    all.retain(|f| matches!(f.life, Life::Suspect | Life::Dead));
+    all.into_iter().map(|f| (f.id, f.peers)).collect()
+}
--- /dev/null
+++ b/crates/router/src/link.rs
@@ -0,0 +1,403 @@
+//! One link to a peer: a WebSocket, one task, sealed frames.
+
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::{SinkExt, StreamExt};
+use rand::RngExt;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::{broadcast, mpsc};
+use tokio::time::{Instant, MissedTickBehavior};
+use tokio_tungstenite::WebSocketStream;
+use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
+use tokio_tungstenite::tungstenite::{Error, Message};
+
+use crate::catalogue::Catalogue;
+use crate::fleet::{self, Registration};
+use crate::frame::{self, Frame, Hello, PROTOCOL, PROTOCOL_MIN, Refusal, Seal, Side};
+use crate::membership::{Facts, Life};
+use crate::node::Node;
+use crate::object::Object;
+
+/// Time between two beats.
+const BEAT: Duration = Duration::from_millis(500);
+/// Silence from which a link counts as broken.
+const IDLE: Duration = Duration::from_millis(2_500);
+/// Bound on connecting and greeting.
+const GREETING: Duration = Duration::from_secs(1);
+/// Time between two looks at which links are missing.
+const DIAL: Duration = Duration::from_millis(300);
+/// Time between two tries of an instance that was lost sight of.
+const DIAL_LOST: Duration = Duration::from_secs(2);
+/// Time of suspicion after which an instance counts as dead.
+const SUSPICION: Duration = Duration::from_secs(3);
+/// Objects in one part of a whole configuration.
+const PART_OBJECTS: usize = 512;
+
+type Socket = WebSocketStream<TcpStream>;
+type Opened = (Link, mpsc::Receiver<Frame>);
+
+struct Link {
+    node: Arc<Node>,
+    socket: Socket,
+    seal: Seal,
+    open: Seal,
+    peer: Facts,
+    registration: Registration,
+    parts: Vec<Object>,
+    heard: Instant,
+}
+
+/// Accepts peers' links for ever.
+pub async fn serve(node: Arc<Node>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::spawn(accept(Arc::clone(&node), stream));
+            }
+            Err(_) => tokio::time::sleep(Duration::from_millis(50)).await,
+        }
+    }
+}
+
+/// Opens missing links and judges who is gone, for ever.
+pub async fn keep(node: Arc<Node>, source: IpAddr) {
+    let mut interval = tokio::time::interval(DIAL);
+    interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut tried_lost = Instant::now();
+    loop {
+        interval.tick().await;
+        let membership = &node.membership;
+        let linked = node.fleet.linked();
+        let mut targets = fleet::wanted(membership);
+        if tried_lost.elapsed() >= DIAL_LOST {
+            tried_lost = Instant::now();
+            targets.extend(fleet::lost(membership));
+            if membership.running().len() == 1 {
+                let seeds = node.settings.peers.seeds.iter();
+                targets.extend(seeds.map(|address| ("".into(), *address)));
+            }
+        }
+        targets.retain(|(id, _)| !linked.contains(id));
+        for (id, address) in targets {
+            tokio::spawn(dial(Arc::clone(&node), id.to_string(), address, source));
+        }
+        for id in membership.suspected(SUSPICION) {
+            membership.accuse(&id, Life::Dead);
+        }
+        membership.forget();
+    }
+}
+
+/// Opens a link to an instance that only the platform's list names.
+pub fn meet(node: &Arc<Node>, id: &str, address: SocketAddr) {
+    if id != node.settings.instance {
+        let source = node.settings.peers.listen.ip();
+        tokio::spawn(dial(Arc::clone(node), id.to_string(), address, source));
+    }
+}
+
+/// Opens a link, and suspects the peer when it can't be opened.
+async fn dial(node: Arc<Node>, id: String, address: SocketAddr, source: IpAddr) {
+    let opened = tokio::time::timeout(GREETING, open(&node, address, source)).await;
+    match opened {
+        Ok(Ok(Some((link, frames)))) => run(link, frames).await,
+        Ok(Ok(None)) => {}
+        Ok(Err(_)) | Err(_) => {
+            node.metrics.count("peers.unreachable");
+            if !node.fleet.linked().contains(id.as_str()) {
+                node.membership.accuse(&id, Life::Suspect);
+            }
+        }
+    }
+}
+
+fn config() -> WebSocketConfig {
+    WebSocketConfig::default()
+        .max_message_size(Some(frame::FRAME_BYTES))
+        .max_frame_size(Some(frame::FRAME_BYTES))
+}
+
+fn hello(node: &Node) -> Hello {
+    Hello {
+        protocol: PROTOCOL,
+        protocol_min: PROTOCOL_MIN,
+        nonce: rand::rng().random(),
+        facts: node.membership.own(),
+        proof: Vec::new(),
+    }
+}
+
+async fn open(
+    node: &Arc<Node>,
+    address: SocketAddr,
+    source: IpAddr,
+) -> Result<Option<Opened>, Error> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    // Peers know this instance by the address that it listens on.
+    if !source.is_unspecified() && source.is_ipv4() == address.is_ipv4() {
+        socket.bind(SocketAddr::new(source, 0))?;
+    }
+    let stream = socket.connect(address).await?;
+    stream.set_nodelay(true)?;
+    let url = format!("ws://{address}/peers");
+    let (mut socket, _) =
+        tokio_tungstenite::client_async_with_config(url, stream, Some(config())).await?;
+    let theirs = receive_hello(&mut socket).await?;
+    let mut ours = hello(node);
+    let nonces = [theirs.nonce, ours.nonce];
+    let key = &node.settings.peers.fleet_key;
+    ours.proof = frame::proof(key, Side::Dialer, &nonces, &ours.facts);
+    socket
+        .send(Message::Binary(frame::encode(&ours).into()))
+        .await?;
+    let theirs = receive_hello(&mut socket).await?;
+    greet(node, socket, theirs, nonces, Side::Dialer)
+}
+
+async fn accept(node: Arc<Node>, stream: TcpStream) {
+    let greeting = async {
+        stream.set_nodelay(true)?;
+        let mut socket =
+            tokio_tungstenite::accept_async_with_config(stream, Some(config())).await?;
+        let mut ours = hello(&node);
+        socket
+            .send(Message::Binary(frame::encode(&ours).into()))
+            .await?;
+        let theirs = receive_hello(&mut socket).await?;
+        let nonces = [ours.nonce, theirs.nonce];
+        let key = &node.settings.peers.fleet_key;
+        if let Err(refusal) = frame::check_proof(key, Side::Dialer, &nonces, &theirs) {
+            node.metrics.count(refusal.counter());
+            return Err(Error::ConnectionClosed);
+        }
+        ours.proof = frame::proof(key, Side::Listener, &nonces, &ours.facts);
+        socket
+            .send(Message::Binary(frame::encode(&ours).into()))
+            .await?;
+        greet(&node, socket, theirs, nonces, Side::Listener)
+    };
+    if let Ok(Ok(Some((link, frames)))) = tokio::time::timeout(GREETING, greeting).await {
+        run(link, frames).await;
+    }
+}
+
+async fn receive_hello(socket: &mut Socket) -> Result<Hello, Error> {
+    let Some(message) = socket.next().await else {
+        return Err(Error::ConnectionClosed);
+    };
+    match message? {
+        Message::Binary(bytes) => frame::decode(&bytes).map_err(|_| Error::ConnectionClosed),
+        _ => Err(Error::ConnectionClosed),
+    }
+}
+
+/// Checks the other side's greeting, and puts the link in place.
+fn greet(
+    node: &Arc<Node>,
+    socket: Socket,
+    theirs: Hello,
+    nonces: [[u8; 16]; 2],
+    side: Side,
+) -> Result<Option<Opened>, Error> {
+    let key = &node.settings.peers.fleet_key;
+    let understood = theirs.protocol >= PROTOCOL_MIN && theirs.protocol_min <= PROTOCOL;
+    let checked = if understood {
+        frame::check_proof(key, side.other(), &nonces, &theirs)
+    } else {
+        Err(Refusal::Version)
+    };
+    if let Err(refusal) = checked {
+        node.metrics.count(refusal.counter());
+        return Err(Error::ConnectionClosed);
+    }
+    let own = &node.settings.instance;
+    if theirs.facts.id == *own {
+        return Ok(None);
+    }
+    let Some((registration, frames)) =
+        node.fleet
+            .register(own, &theirs.facts, side == Side::Dialer)
+    else {
+        return Ok(None);
+    };
+    node.membership.merge(theirs.facts.clone());
+    let link = Link {
+        node: Arc::clone(node),
+        socket,
+        seal: Seal::new(key, side, &nonces),
+        open: Seal::new(key, side.other(), &nonces),
+        peer: theirs.facts,
+        registration,
+        parts: Vec::new(),
+        heard: Instant::now(),
+    };
+    Ok(Some((link, frames)))
+}
+
+async fn run(mut link: Link, frames: mpsc::Receiver<Frame>) {
+    let result = link.talk(frames).await;
+    if let Err(Some(refusal)) = result {
+        link.node.metrics.count(refusal.counter());
+        log::warn!("peer={} link=closed reason={refusal}", link.peer.id);
+    }
+    if link.node.fleet.unregister(&link.registration) {
+        link.node.metrics.count("peers.lost");
+    }
+}
+
+impl Link {
+    /// Exchanges frames until the link ends; fails with the refusal that ended it, if one did.
+    async fn talk(&mut self, mut frames: mpsc::Receiver<Frame>) -> Result<(), Option<Refusal>> {
+        let mut news = self.node.membership.subscribe();
+        let mut beat = tokio::time::interval(BEAT);
+        beat.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let all = self.node.membership.all();
+        self.send(&Frame::Facts(all)).await?;
+        loop {
+            tokio::select! {
+                message = self.socket.next() => {
+                    let Some(Ok(message)) = message else {
+                        return Err(None);
+                    };
+                    self.heard = Instant::now();
+                    self.receive(message).await?;
+                }
+                frame = frames.recv() => match frame {
+                    Some(frame) => self.send(&frame).await?,
+                    None => return Err(None),
+                },
+                facts = news.recv() => match facts {
+                    Ok(facts) if facts.id == self.peer.id && facts.life <= Life::Leaving => {}
+                    Ok(facts) => self.send(&Frame::Facts(vec![facts])).await?,
+                    Err(broadcast::error::RecvError::Lagged(_)) => {
+                        let all = self.node.membership.all();
+                        self.send(&Frame::Facts(all)).await?;
+                    }
+                    Err(broadcast::error::RecvError::Closed) => return Ok(()),
+                },
+                _ = beat.tick() => {
+                    if self.heard.elapsed() > IDLE {
+                        return Err(None);
+                    }
+                    let frame = self.beat();
+                    self.send(&frame).await?;
+                }
+            }
+        }
+    }
+
+    fn beat(&self) -> Frame {
+        let node = &self.node;
+        Frame::Beat {
+            number: node.changelog.catalogue().number(),
+            digest: node.membership.digest(),
+            floors: node.fleet.floors(node.pools.wanted_floors()),
+        }
+    }
+
+    async fn send(&mut self, frame: &Frame) -> Result<(), Option<Refusal>> {
+        let bytes = self.seal.seal(frame);
+        self.node.metrics.add("peers.bytes", bytes.len() as u64);
+        let sent = tokio::time::timeout(IDLE, self.socket.send(Message::Binary(bytes))).await;
+        match sent {
+            Ok(Ok(())) => Ok(()),
+            _ => Err(None),
+        }
+    }
+
+    async fn receive(&mut self, message: Message) -> Result<(), Option<Refusal>> {
+        let bytes = match message {
+            Message::Binary(bytes) => bytes,
+            Message::Close(_) => return Err(None),
+            _ => return Ok(()),
+        };
+        let frame = self.open.open(&bytes).map_err(Some)?;
+        let node = Arc::clone(&self.node);
+        match frame {
+            Frame::Beat {
+                number,
+                digest,
+                floors,
+            } => {
+                node.fleet.heard(&floors);
+                let own = node.changelog.catalogue().number();
+                if number > own {
+                    self.send(&Frame::WantChanges(own)).await?;
+                }
+                if digest != node.membership.digest() {
+                    node.metrics.count("peers.digest_differs");
+                    self.send(&Frame::WantFacts).await?;
+                }
+            }
+            Frame::Facts(facts) => {
+                for facts in facts {
+                    node.membership.merge(facts);
+                }
+            }
+            Frame::WantFacts => {
+                let all = node.membership.all();
+                self.send(&Frame::Facts(all)).await?;
+            }
+            Frame::WantChanges(after) => self.send_changes(after).await?,
+            Frame::Changes(changes) => node.changelog.learn(changes),
+            Frame::Snapshot {
+                number,
+                part,
+                parts,
+                objects,
+            } => self.take_part(number, part, parts, objects),
+            Frame::Claim { call, operation } => {
+                let id = self.peer.id.clone();
+                tokio::spawn(async move {
+                    let outcome = node.claims.submit(operation).await;
+                    node.fleet.send(&id, Frame::ClaimReply { call, outcome });
+                });
+            }
+            Frame::ClaimReply { call, outcome } => node.fleet.replied(call, outcome),
+            Frame::ServerLeaving { server, at_ms } => {
+                node.departures
+                    .heard(&node, &server, at_ms, Some(&self.peer.id));
+            }
+        }
+        Ok(())
+    }
+
+    async fn send_changes(&mut self, after: u64) -> Result<(), Option<Refusal>> {
+        let changes = self.node.changelog.since(after);
+        if !changes.is_empty() {
+            return self.send(&Frame::Changes(changes)).await;
+        }
+        let catalogue = self.node.changelog.catalogue();
+        let objects: Vec<Object> = catalogue.objects().map(|o| o.as_ref().clone()).collect();
+        let parts: Vec<&[Object]> = objects.chunks(PART_OBJECTS).collect();
+        let count = u32::try_from(parts.len()).unwrap_or(u32::MAX);
+        for (part, objects) in (0..).zip(parts) {
+            let frame = Frame::Snapshot {
+                number: catalogue.number(),
+                part,
+                parts: count,
+                objects: objects.to_vec(),
+            };
+            self.send(&frame).await?;
+        }
+        Ok(())
+    }
+
+    fn take_part(&mut self, number: u64, part: u32, parts: u32, objects: Vec<Object>) {
+        if part == 0 {
+            self.parts.clear();
+        }
+        self.parts.extend(objects);
+        if part + 1 == parts {
+            let objects = std::mem::take(&mut self.parts);
+            self.node
+                .changelog
+                .restore(Catalogue::restore(number, objects));
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/node.rs
@@ -0,0 +1,173 @@
+//! One instance: what all its connections share.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::time::Duration;
+
+use rand::RngExt;
+use tokio::sync::Notify;
+
+use crate::backend::Backends;
+use crate::changelog::{self, Changelog};
+use crate::claims::{Claims, Operation, Outcome};
+use crate::departures::Departures;
+use crate::fleet::Fleet;
+use crate::membership::{Facts, Life, Membership};
+use crate::metrics::Metrics;
+use crate::platform_http::HttpPlatform;
+use crate::pools::Pools;
+use crate::settings::Settings;
+use crate::token::Signer;
+
+/// What all connections of one instance share.
+pub struct Node {
+    /// The instance's settings.
+    pub settings: Settings,
+    /// The platform's client.
+    pub platform: HttpPlatform,
+    /// The configuration.
+    pub changelog: Arc<Changelog<HttpPlatform>>,
+    /// The claims as this instance writes them.
+    pub claims: Arc<Claims<HttpPlatform>>,
+    /// The other instances.
+    pub membership: Arc<Membership>,
+    /// Links to peers.
+    pub fleet: Fleet,
+    /// Backend servers that are leaving.
+    pub departures: Departures,
+    /// Backend servers by pool.
+    pub pools: Pools,
+    /// Connections to backend servers.
+    pub backends: Backends,
+    /// Signs stream tokens.
+    pub signer: Signer,
+    /// Counters.
+    pub metrics: Arc<Metrics>,
+    /// Requests that are being answered.
+    pub requests: Requests,
+    /// Told when an operator asks the instance to leave.
+    pub drained: Notify,
+    platform_heard: AtomicU64,
+}
+
+impl Node {
+    /// An instance with these settings, known to others by `facts`.
+    #[must_use]
+    pub fn new(settings: Settings, facts: Facts) -> Arc<Self> {
+        let metrics = Arc::new(Metrics::new(settings.metrics.statsd));
+        let platform = HttpPlatform::new(settings.platform.address, settings.platform.timeout());
+        let changelog = Changelog::new(platform.clone(), Arc::clone(&metrics));
+        let window = settings.limits.claim_window_ms;
+        let claims = Claims::new(platform.clone(), Arc::clone(&metrics), window);
+        Arc::new(Self {
+            signer: Signer::new(&settings.peers.fleet_key),
+            pools: Pools::new(&settings),
+            membership: Arc::new(Membership::new(facts)),
+            changelog: Arc::new(changelog),
+            fleet: Fleet::default(),
+            departures: Departures::default(),
+            backends: Backends::default(),
+            requests: Requests::default(),
+            drained: Notify::new(),
+            platform_heard: AtomicU64::new(changelog::now_ms()),
+            claims,
+            platform,
+            metrics,
+            settings,
+        })
+    }
+
+    /// Whether the instance refuses new work.
+    #[must_use]
+    pub fn leaving(&self) -> bool {
+        self.membership.own().life == Life::Leaving
+    }
+
+    /// Notes that the platform has answered.
+    pub fn platform_answered(&self) {
+        self.platform_heard
+            .store(changelog::now_ms(), Ordering::Relaxed);
+    }
+
+    /// Time since the platform last answered, in ms.
+    #[must_use]
+    pub fn platform_age_ms(&self) -> u64 {
+        changelog::now_ms().saturating_sub(self.platform_heard.load(Ordering::Relaxed))
+    }
+
+    /// Leaves the list of addresses, refuses new work, and waits until every request is answered or
+    /// the settings' bound is over.
+    pub async fn drain(&self) {
+        if !self.leaving() {
+            log::info!("state=leaving");
+        }
+        self.membership.update(|own| own.life = Life::Leaving);
+        let finished = self.requests.finished();
+        match self.settings.limits.drain_ms {
+            0 => finished.await,
+            bound => {
+                let _ = tokio::time::timeout(Duration::from_millis(bound), finished).await;
+            }
+        }
+    }
+
+    /// Does an operation on a claim through the instance that tends the claim's shard, or here when
+    /// that instance doesn't answer.
+    pub async fn claim(self: &Arc<Self>, operation: Operation) -> Outcome {
+        let tended = self.fleet.claim(&self.membership, operation).await;
+        match tended {
+            Some(outcome) => outcome,
+            None => self.claims.submit(operation).await,
+        }
+    }
+}
+
+/// A number chosen at random for one attempt or call.
+#[must_use]
+pub fn random_id() -> u64 {
+    rand::rng().random()
+}
+
+/// Counts requests that are being answered.
+#[derive(Debug, Default)]
+pub struct Requests {
+    count: AtomicUsize,
+    idle: Notify,
+}
+
+impl Requests {
+    /// Counts one until the guard is dropped.
+    #[must_use]
+    pub fn enter(node: &Arc<Node>) -> InFlight {
+        node.requests.count.fetch_add(1, Ordering::SeqCst);
+        InFlight(Arc::clone(node))
+    }
+
+    /// How many there are now.
+    #[must_use]
+    pub fn count(&self) -> usize {
+        self.count.load(Ordering::SeqCst)
+    }
+
+    /// Waits until there are none.
+    pub async fn finished(&self) {
+        loop {
+            let idle = self.idle.notified();
+            if self.count() == 0 {
+                return;
+            }
+            idle.await;
+        }
+    }
+}
+
+/// One request that is being answered.
+pub struct InFlight(Arc<Node>);
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        if self.0.requests.count.fetch_sub(1, Ordering::SeqCst) == 1 {
+            self.0.requests.idle.notify_waiters();
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/operators.rs
@@ -0,0 +1,375 @@
+//! The operators' gRPC.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use jackdawtally_schema::operators as schema;
+use jackdawtally_schema::operators::operators_server::Operators;
+use smol_str::SmolStr;
+use tokio::time::Instant;
+use tonic::{Request, Response, Status};
+
+use crate::callers;
+use crate::catalogue::Difference;
+use crate::changelog::Proposal;
+use crate::error::{Fault, Kind};
+use crate::node::Node;
+use crate::object::{self, Declarations, Edit, Key, Object, Sort};
+
+/// Largest file of declarations, in bytes.
+const DECLARATIONS_BYTES: usize = 900_000;
+/// Longest time that a call of Apply waits for the other instances.
+const WAIT_MAX: Duration = Duration::from_secs(30);
+/// Time between two looks at which instances have a number in force.
+const WAIT_STEP: Duration = Duration::from_millis(20);
+/// Most changes that one call of Audit reads.
+const AUDIT_MAX: u32 = 1_000;
+
+/// The operators' service at one instance.
+pub struct Service(Arc<Node>);
+
+impl Service {
+    /// The service of `node`.
+    #[must_use]
+    pub const fn new(node: Arc<Node>) -> Self {
+        Self(node)
+    }
+
+    /// The name of the operator who calls.
+    fn operator<T>(&self, request: &Request<T>) -> Result<SmolStr, Status> {
+        let token = request
+            .metadata()
+            .get("authorization")
+            .and_then(|v| v.to_str().ok())
+            .and_then(|v| v.strip_prefix("Bearer "))
+            .map(object::key_hash);
+        let hashes = &self.0.settings.operators.token_hashes;
+        let known = hashes
+            .iter()
+            .find(|(_, hash)| Some(*hash) == token.as_ref());
+        known.map(|(name, _)| name.clone()).ok_or_else(|| {
+            status(&Fault::new(
+                Kind::Unauthorized,
+                "a valid operator's token is needed",
+            ))
+        })
+    }
+
+    fn edits(&self, text: &str, prune: bool) -> Result<Vec<Edit>, Fault> {
+        if text.len() > DECLARATIONS_BYTES {
+            let message = format!("the declarations are over {DECLARATIONS_BYTES} bytes");
+            return Err(Fault::new(Kind::ChangeRefused, message));
+        }
+        let declarations =
+            Declarations::parse(text).map_err(|e| Fault::new(Kind::ChangeRefused, e))?;
+        let objects = declarations.objects();
+        let mut keys: Vec<Key> = objects.iter().map(Object::key).collect();
+        keys.sort();
+        if let Some([key, _]) = keys.array_windows().find(|[a, b]| a == b) {
+            let message = format!("{key} is declared twice");
+            return Err(Fault::new(Kind::ChangeRefused, message));
+        }
+        let mut edits: Vec<Edit> = objects.into_iter().map(Edit::Put).collect();
+        if prune {
+            let catalogue = self.0.changelog.catalogue();
+            let present = catalogue.objects().map(|o| o.key());
+            let gone = present.filter(|key| keys.binary_search(key).is_err());
+            edits.extend(gone.map(Edit::Delete));
+        }
+        Ok(edits)
+    }
+
+    /// Waits until every running instance has `number` in force, or `wait` is over.
+    async fn spread(&self, number: u64, wait: Duration) -> (Vec<String>, Vec<String>) {
+        let deadline = Instant::now() + wait.min(WAIT_MAX);
+        loop {
+            let running = self.0.membership.running();
+            let (have, lag): (Vec<_>, Vec<_>) =
+                running.into_iter().partition(|f| f.config >= number);
+            if lag.is_empty() || Instant::now() >= deadline {
+                let names = |all: Vec<crate::membership::Facts>| {
+                    all.into_iter().map(|f| f.id.to_string()).collect()
+                };
+                return (names(have), names(lag));
+            }
+            tokio::time::sleep(WAIT_STEP).await;
+        }
+    }
+}
+
+/// A fault as gRPC has it, with its kind in the metadata.
+fn status(fault: &Fault) -> Status {
+    let code = match fault.kind {
+        Kind::Unauthorized => tonic::Code::Unauthenticated,
+        Kind::ChangeRefused | Kind::BadRequest => tonic::Code::FailedPrecondition,
+        Kind::UnknownObject => tonic::Code::NotFound,
+        Kind::PlatformUnavailable => tonic::Code::Unavailable,
+        Kind::OutcomeUnknown => tonic::Code::Unknown,
+        _ => tonic::Code::Internal,
+    };
+    let mut status = Status::new(code, fault.message.clone());
+    if let Ok(value) = fault.kind.answer().name.parse() {
+        status.metadata_mut().insert("kind", value);
+    }
+    status
+}
+
+fn json(object: Option<&Arc<Object>>) -> String {
+    object
+        .and_then(|o| serde_json::to_string(o.as_ref()).ok())
+        .unwrap_or_default()
+}
+
+fn difference(difference: &Difference) -> schema::Difference {
+    schema::Difference {
+        object: difference.key.to_string(),
+        before: json(difference.before.as_ref()),
+        after: json(difference.after.as_ref()),
+    }
+}
+
+fn parse_sort(word: &str) -> Result<Sort, Fault> {
+    let sorts = [
+        Sort::Tier,
+        Sort::Class,
+        Sort::Organisation,
+        Sort::BackendServer,
+    ];
+    sorts
+        .into_iter()
+        .find(|s| s.as_str() == word)
+        .ok_or_else(|| {
+            let message = format!("{word} isn't tier, class, organisation or backend_server");
+            Fault::new(Kind::UnknownObject, message)
+        })
+}
+
+fn parse_key(text: &str) -> Result<Key, Fault> {
+    let (sort, name) = text
+        .split_once('/')
+        .ok_or_else(|| Fault::new(Kind::UnknownObject, format!("{text} isn't KIND/NAME")))?;
+    Ok(Key {
+        sort: parse_sort(sort)?,
+        name: name.into(),
+    })
+}
+
+fn unavailable(error: &crate::platform::Error) -> Status {
+    status(&Fault::new(Kind::PlatformUnavailable, error.to_string()))
+}
+
+#[tonic::async_trait]
+impl Operators for Service {
+    async fn apply(
+        &self,
+        request: Request<schema::ApplyRequest>,
+    ) -> Result<Response<schema::ApplyReply>, Status> {
+        let operator = self.operator(&request)?;
+        let request = request.into_inner();
+        let edits = self
+            .edits(&request.declarations, request.prune)
+            .map_err(|f| status(&f))?;
+        let differences = self.0.changelog.plan(&edits);
+        let id = match request.change_id.as_str() {
+            "" => uuid::Uuid::new_v4().to_string().into(),
+            id => SmolStr::from(id),
+        };
+        let proposal = Proposal {
+            id,
+            operator: operator.clone(),
+            edits,
+        };
+        let number = self
+            .0
+            .changelog
+            .propose(&proposal)
+            .await
+            .map_err(|f| status(&f))?;
+        log::info!(
+            "change={number} operator={operator} edits={}",
+            differences.len()
+        );
+        let wait = Duration::from_millis(request.wait_ms.into());
+        let (in_force, lagging) = self.spread(number, wait).await;
+        Ok(Response::new(schema::ApplyReply {
+            number,
+            differences: differences.iter().map(difference).collect(),
+            in_force,
+            lagging,
+        }))
+    }
+
+    async fn plan(
+        &self,
+        request: Request<schema::PlanRequest>,
+    ) -> Result<Response<schema::PlanReply>, Status> {
+        let operator = self.operator(&request)?;
+        let request = request.into_inner();
+        let edits = self
+            .edits(&request.declarations, request.prune)
+            .map_err(|f| status(&f))?;
+        let catalogue = self.0.changelog.catalogue();
+        let differences = catalogue.plan(&edits);
+        let trial = object::Change {
+            number: catalogue.number() + 1,
+            id: SmolStr::default(),
+            operator,
+            at_ms: 0,
+            before: Vec::new(),
+            edits,
+        };
+        catalogue.apply(&trial).map_err(|f| status(&f))?;
+        Ok(Response::new(schema::PlanReply {
+            number: catalogue.number(),
+            differences: differences.iter().map(difference).collect(),
+        }))
+    }
+
+    async fn get(
+        &self,
+        request: Request<schema::GetRequest>,
+    ) -> Result<Response<schema::GetReply>, Status> {
+        self.operator(&request)?;
+        let key = parse_key(&request.into_inner().object).map_err(|f| status(&f))?;
+        let catalogue = self.0.changelog.catalogue();
+        let object = catalogue.get(&key).ok_or_else(|| {
+            status(&Fault::new(
+                Kind::UnknownObject,
+                format!("there is no {key}"),
+            ))
+        })?;
+        Ok(Response::new(schema::GetReply {
+            object: json(Some(object)),
+            number: catalogue.number(),
+        }))
+    }
+
+    async fn list(
+        &self,
+        request: Request<schema::ListRequest>,
+    ) -> Result<Response<schema::ListReply>, Status> {
+        self.operator(&request)?;
+        let kind = request.into_inner().kind;
+        let sort = match kind.as_str() {
+            "" => None,
+            word => Some(parse_sort(word).map_err(|f| status(&f))?),
+        };
+        let catalogue = self.0.changelog.catalogue();
+        let chosen = catalogue
+            .objects()
+            .filter(|o| sort.is_none_or(|s| o.key().sort == s));
+        Ok(Response::new(schema::ListReply {
+            objects: chosen.map(|o| json(Some(o))).collect(),
+            number: catalogue.number(),
+        }))
+    }
+
+    async fn status(
+        &self,
+        request: Request<schema::StatusRequest>,
+    ) -> Result<Response<schema::StatusReply>, Status> {
+        self.operator(&request)?;
+        Ok(Response::new(status_reply(&self.0)))
+    }
+
+    async fn drain(
+        &self,
+        request: Request<schema::DrainRequest>,
+    ) -> Result<Response<schema::DrainReply>, Status> {
+        let operator = self.operator(&request)?;
+        log::info!("drain=asked operator={operator}");
+        self.0.drained.notify_one();
+        Ok(Response::new(schema::DrainReply {
+            requests: self.0.requests.count() as u64,
+        }))
+    }
+
+    async fn audit(
+        &self,
+        request: Request<schema::AuditRequest>,
+    ) -> Result<Response<schema::AuditReply>, Status> {
+        self.operator(&request)?;
+        let request = request.into_inner();
+        let limit = request.limit.clamp(1, AUDIT_MAX) as usize;
+        let changes = self.0.changelog.audit(request.from, limit).await;
+        let changes = changes.map_err(|e| unavailable(&e))?;
+        Ok(Response::new(schema::AuditReply {
+            entries: trail(&changes),
+        }))
+    }
+
+    async fn entries(
+        &self,
+        request: Request<schema::EntriesRequest>,
+    ) -> Result<Response<schema::EntriesReply>, Status> {
+        self.operator(&request)?;
+        Ok(Response::new(schema::EntriesReply {
+            entries: callers::entries_json(&self.0).to_string(),
+        }))
+    }
+}
+
+/// The trail of changes, with what each object was before and after.
+fn trail(changes: &[object::Change]) -> Vec<schema::AuditEntry> {
+    let entries = changes.iter().map(|change| {
+        let before = change
+            .before
+            .iter()
+            .map(Option::as_ref)
+            .chain(std::iter::repeat(None));
+        let steps = change.edits.iter().zip(before);
+        schema::AuditEntry {
+            number: change.number,
+            change_id: change.id.to_string(),
+            operator: change.operator.to_string(),
+            at_ms: change.at_ms,
+            differences: steps.map(|(edit, before)| step(edit, before)).collect(),
+        }
+    });
+    entries.collect()
+}
+
+fn step(edit: &Edit, before: Option<&Object>) -> schema::Difference {
+    let json = |o: &Object| serde_json::to_string(o).unwrap_or_default();
+    let after = match edit {
+        Edit::Put(object) => json(object),
+        Edit::Delete(_) => String::new(),
+    };
+    schema::Difference {
+        object: edit.key().to_string(),
+        before: before.map(json).unwrap_or_default(),
+        after,
+    }
+}
+
+fn status_reply(node: &Arc<Node>) -> schema::StatusReply {
+    let instances = node.membership.all().into_iter().map(|f| schema::Instance {
+        id: f.id.to_string(),
+        state: f.life.as_str().into(),
+        data_centre: f.data_centre.to_string(),
+        callers: f.callers.to_string(),
+        operators: f.operators.to_string(),
+        number: f.config,
+    });
+    let pools = node.pools.all().into_iter().map(|pool| {
+        let stats = pool.stats();
+        schema::Pool {
+            name: pool.name().to_string(),
+            waiting: stats.waiting as u64,
+            in_flight: stats.in_flight as u64,
+            servers: stats.servers as u64,
+            open: stats.open as u64,
+        }
+    });
+    let counters = node.metrics.totals().into_iter();
+    schema::StatusReply {
+        instance: node.settings.instance.to_string(),
+        number: node.changelog.catalogue().number(),
+        platform_age_ms: node.platform_age_ms(),
+        requests: node.requests.count() as u64,
+        instances: instances.collect(),
+        pools: pools.collect(),
+        counters: counters.map(|(name, n)| (name.to_owned(), n)).collect(),
+        links: u32::try_from(node.fleet.links()).unwrap_or(u32::MAX),
+    }
+}
--- /dev/null
+++ b/crates/router/src/placement.rs
@@ -0,0 +1,124 @@
+//! The choice of a backend server for one request.
+
+use rand::RngExt;
+use slotmap::SlotMap;
+use tokio::time::Instant;
+use xxhash_rust::xxh3;
+
+use crate::object::Level;
+use crate::pool::ServerId;
+use crate::server::Server;
+
+/// How much fuller than the emptiest candidate the preferred server may be.
+const AFFINITY_SLACK: f64 = 0.25;
+/// Fullness that a server in another data centre is taken to have on top.
+const REMOTE_PENALTY: f64 = 0.25;
+
+/// What the choice depends on.
+#[derive(Clone, Copy, Debug)]
+pub struct Wish<'a> {
+    /// The tier's rank.
+    pub level: Level,
+    /// Hash of the prompt's beginning; equal prefixes prefer the same server.
+    pub prefix: u64,
+    /// Whether the class has a latency target, so that a straggler won't do.
+    pub targeted: bool,
+    /// Whether the starvation guard asks, which may wait at a full server.
+    pub guard: bool,
+    /// Servers that failed this request already.
+    pub avoid: &'a [ServerId],
+    /// The server that holds the request's paused stream.
+    pub prefer: Option<ServerId>,
+    /// Unstarted requests that a server may have from here when it looks full.
+    pub unstarted: u32,
+}
+
+/// The outcome of a choice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Choice {
+    /// The request goes to this server.
+    Server(ServerId),
+    /// Only stragglers have room, and they won't do for this request.
+    Straggler,
+    /// No server has room.
+    Full,
+}
+
+/// Chooses a server for `wish`: the one that holds its stream, the one that likely caches its
+/// prefix, or the emptier of two drawn at random.
+pub fn choose(
+    servers: &SlotMap<ServerId, Server>,
+    wish: &Wish<'_>,
+    now: Instant,
+    rng: &mut impl RngExt,
+) -> Choice {
+    let roomy: Vec<(ServerId, &Server)> = servers
+        .iter()
+        .filter(|(id, s)| has_room(s, wish, now) && !wish.avoid.contains(id))
+        .collect();
+    if roomy.is_empty() {
+        return Choice::Full;
+    }
+    if let Some(held) = wish.prefer.filter(|p| roomy.iter().any(|(id, _)| id == p)) {
+        return Choice::Server(held);
+    }
+    let fast: Vec<(ServerId, f64)> = roomy
+        .iter()
+        .filter(|(_, s)| !s.straggling() || !wish.targeted)
+        .map(|(id, s)| (*id, score(s, now)))
+        .collect();
+    match fast.len() {
+        0 => Choice::Straggler,
+        1 => Choice::Server(fast[0].0),
+        _ => Choice::Server(prefer_prefix(servers, &fast, wish, rng)),
+    }
+}
+
+fn has_room(server: &Server, wish: &Wish<'_>, now: Instant) -> bool {
+    let allowance = server.free(now).max(wish.unstarted);
+    let guard = u32::from(wish.guard);
+    server.open(now) && server.unstarted(wish.level) < allowance + guard
+}
+
+fn score(server: &Server, now: Instant) -> f64 {
+    let remote = if server.local { 0.0 } else { REMOTE_PENALTY };
+    let slow = if server.straggling() { 1.0 } else { 0.0 };
+    server.fullness(now) + remote + slow
+}
+
+fn prefer_prefix(
+    servers: &SlotMap<ServerId, Server>,
+    fast: &[(ServerId, f64)],
+    wish: &Wish<'_>,
+    rng: &mut impl RngExt,
+) -> ServerId {
+    let least = fast.iter().map(|(_, s)| *s).fold(f64::INFINITY, f64::min);
+    let near = fast.iter().filter(|(_, s)| *s <= least + AFFINITY_SLACK);
+    let cached = near.max_by_key(|(id, _)| rendezvous(wish.prefix, servers[*id].name()));
+    match cached {
+        Some((id, _)) if wish.prefix != 0 => *id,
+        _ => two_choices(fast, rng),
+    }
+}
+
+fn two_choices(fast: &[(ServerId, f64)], rng: &mut impl RngExt) -> ServerId {
+    let first = rng.random_range(0..fast.len());
+    let second = (first + rng.random_range(1..fast.len())) % fast.len();
+    if fast[first].1 <= fast[second].1 {
+        fast[first].0
+    } else {
+        fast[second].0
+    }
+}
+
+/// The weight of `member` for `key` under rendezvous hashing.
+#[must_use]
+pub fn rendezvous(key: u64, member: &str) -> u64 {
+    xxh3::xxh3_64_with_seed(member.as_bytes(), key)
+}
+
+/// The hash of a prompt's beginning or of a name.
+#[must_use]
+pub fn hash(bytes: &[u8]) -> u64 {
+    xxh3::xxh3_64(bytes)
+}
--- /dev/null
+++ b/crates/router/src/platform_http.rs
@@ -0,0 +1,179 @@
+//! The adapter to the platform's HTTP protocol: objects with `ETag`, `If-Match` and `If-None-Match`.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use http::{Method, Request, StatusCode, header};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper_util::client::legacy::{Client, connect::HttpConnector};
+use hyper_util::rt::TokioExecutor;
+use serde::Deserialize;
+
+use crate::platform::{Batch, Condition, Error, Item, Listed, Platform, Stored, Version};
+
+/// Largest answer that is read from the platform, in bytes.
+const ANSWER_BYTES: usize = 64 << 20;
+
+/// A client of the platform's HTTP protocol.
+#[derive(Clone)]
+pub struct HttpPlatform {
+    address: SocketAddr,
+    timeout: Duration,
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+struct Reply {
+    status: StatusCode,
+    version: Option<Version>,
+    body: Bytes,
+}
+
+#[derive(Deserialize)]
+struct WatchBody {
+    version: Version,
+    items: Vec<WatchItem>,
+}
+
+#[derive(Deserialize)]
+struct WatchItem {
+    key: String,
+    version: Version,
+    value: String,
+}
+
+impl HttpPlatform {
+    /// A client of the service at `address` whose calls take at most `timeout`.
+    #[must_use]
+    pub fn new(address: SocketAddr, timeout: Duration) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        Self {
+            address,
+            timeout,
+            client: Client::builder(TokioExecutor::new()).build(connector),
+        }
+    }
+
+    async fn call(&self, request: Request<Full<Bytes>>, timeout: Duration) -> Result<Reply, Error> {
+        let exchange = async {
+            let response = self.client.request(request).await.map_err(unavailable)?;
+            let (head, body) = response.into_parts();
+            let version = head
+                .headers
+                .get(header::ETAG)
+                .and_then(|v| v.to_str().ok())
+                .and_then(|v| v.trim_matches('"').parse().ok());
+            let body = Limited::new(body, ANSWER_BYTES)
+                .collect()
+                .await
+                .map_err(|e| Error::Unavailable(e.to_string()))?
+                .to_bytes();
+            Ok(Reply {
+                status: head.status,
+                version,
+                body,
+            })
+        };
+        match tokio::time::timeout(timeout, exchange).await {
+            Ok(Ok(reply)) if reply.status == StatusCode::TOO_MANY_REQUESTS => Err(Error::Throttled),
+            Ok(result) => result,
+            Err(_) => Err(Error::Unavailable(format!("no reply within {timeout:?}"))),
+        }
+    }
+
+    fn request(&self, method: Method, path: &str) -> http::request::Builder {
+        Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.address))
+    }
+}
+
+impl Platform for HttpPlatform {
+    async fn get(&self, key: &str) -> Result<Option<Stored>, Error> {
+        let request = self
+            .request(Method::GET, &format!("/objects/{key}"))
+            .body(Full::default())
+            .map_err(unavailable)?;
+        let reply = self.call(request, self.timeout).await?;
+        match (reply.status, reply.version) {
+            (StatusCode::OK, Some(version)) => Ok(Some(Stored {
+                version,
+                value: reply.body,
+            })),
+            (StatusCode::NOT_FOUND, _) => Ok(None),
+            (status, _) => Err(unexpected(status)),
+        }
+    }
+
+    async fn put(&self, key: &str, value: Bytes, condition: Condition) -> Result<Version, Error> {
+        let request = self.request(Method::PUT, &format!("/objects/{key}"));
+        let request = match condition {
+            Condition::Absent => request.header(header::IF_NONE_MATCH, "*"),
+            Condition::Version(v) => request.header(header::IF_MATCH, format!("\"{v}\"")),
+        };
+        let request = request.body(Full::new(value)).map_err(unavailable)?;
+        let reply = self.call(request, self.timeout).await?;
+        match (reply.status, reply.version) {
+            (StatusCode::OK | StatusCode::CREATED, Some(version)) => Ok(version),
+            (StatusCode::PRECONDITION_FAILED, _) => Err(Error::Conflict),
+            (status, _) => Err(unexpected(status)),
+        }
+    }
+
+    async fn watch(&self, prefix: &str, after: Version, wait: Duration) -> Result<Batch, Error> {
+        let path = format!(
+            "/objects?prefix={prefix}&after={after}&wait_ms={}",
+            wait.as_millis()
+        );
+        let request = self
+            .request(Method::GET, &path)
+            .body(Full::default())
+            .map_err(unavailable)?;
+        let reply = self.call(request, self.timeout + wait).await?;
+        if reply.status != StatusCode::OK {
+            return Err(unexpected(reply.status));
+        }
+        let body: WatchBody = serde_json::from_slice(&reply.body).map_err(unavailable)?;
+        let items = body
+            .items
+            .into_iter()
+            .map(decode)
+            .collect::<Result<_, _>>()?;
+        Ok(Batch {
+            version: body.version,
+            items,
+        })
+    }
+
+    async fn instances(&self) -> Result<Vec<Listed>, Error> {
+        let request = self
+            .request(Method::GET, "/instances")
+            .body(Full::default())
+            .map_err(unavailable)?;
+        let reply = self.call(request, self.timeout).await?;
+        match reply.status {
+            StatusCode::OK => serde_json::from_slice(&reply.body).map_err(unavailable),
+            status => Err(unexpected(status)),
+        }
+    }
+}
+
+fn decode(item: WatchItem) -> Result<Item, Error> {
+    let value = STANDARD.decode(item.value).map_err(unavailable)?;
+    Ok(Item {
+        key: item.key,
+        version: item.version,
+        value: value.into(),
+    })
+}
+
+fn unavailable(error: impl std::fmt::Display) -> Error {
+    Error::Unavailable(error.to_string())
+}
+
+fn unexpected(status: StatusCode) -> Error {
+    Error::Unavailable(format!("status {status}"))
+}
--- /dev/null
+++ b/crates/router/src/relay.rs
@@ -0,0 +1,605 @@
+//! Answers one request for a model: from pool to engine and back, over as many engines as it takes.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Method, Response, StatusCode, header};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use serde_json::Value;
+use smol_str::{SmolStr, format_smolstr};
+use tokio::time::Instant;
+
+use crate::backend::{self, Call, Error};
+use crate::claim::Claim;
+use crate::claims::Progress;
+use crate::error::{Fault, Kind, Ran};
+use crate::inference::{Chunk, Inference};
+use crate::output::Output;
+use crate::pool::{Order, Permit, ServerId};
+use crate::sse::{Event, Reader};
+use crate::token::{Position, StreamSigner};
+use crate::work::Work;
+
+/// Engines and resumptions that one request may take.
+const ATTEMPTS: u32 = 24;
+/// Silence after the first token from which a stream counts as cut.
+const STALL: Duration = Duration::from_secs(3);
+/// First wait before a stream is asked for again at the engine that holds it.
+const RESUME_WAIT: Duration = Duration::from_millis(100);
+/// Times that a stream is asked for again in a row at the engine that holds it.
+const RESUME_TRIES: u32 = 7;
+/// Time that an engine keeps a stream whose reader went away.
+const KEEP_MS: &str = "15000";
+/// Tokens over which the gap between them is measured.
+const GAP_TOKENS: u32 = 16;
+
+/// A stream that an engine holds for this request.
+#[derive(Clone, Debug)]
+struct Held {
+    server: ServerId,
+    name: SmolStr,
+    stream: SmolStr,
+    offset: u64,
+}
+
+/// How one attempt ended.
+enum Step {
+    Done,
+    Again,
+    CallerGone,
+    Fail(Fault),
+}
+
+/// Answers one request.
+pub struct Relay {
+    work: Work,
+    inference: Inference,
+    id: SmolStr,
+    out: Output,
+    claim: Option<Claim>,
+    text: String,
+    sent: u64,
+    known: bool,
+    reached: bool,
+    held: Option<Held>,
+    attempt: u32,
+    finish: SmolStr,
+    usage: Option<Value>,
+}
+
+impl Relay {
+    /// A relay for a request that nothing has been done for yet.
+    #[must_use]
+    pub fn new(work: Work, inference: Inference, out: Output) -> Self {
+        Self {
+            id: format_smolstr!("jt-{}", uuid::Uuid::new_v4().simple()),
+            text: inference.received.clone(),
+            work,
+            inference,
+            out,
+            claim: None,
+            sent: 0,
+            known: true,
+            reached: false,
+            held: None,
+            attempt: 0,
+            finish: "stop".into(),
+            usage: None,
+        }
+    }
+
+    /// The same, going on after `position`.
+    #[must_use]
+    pub fn resuming(mut self, position: &Position) -> Self {
+        self.sent = position.sent;
+        self.known = position.sent == 0 || !self.text.is_empty();
+        self.reached = true;
+        self.held = Some(Held {
+            server: ServerId::default(),
+            name: position.server.clone(),
+            stream: position.stream.clone(),
+            offset: position.offset,
+        });
+        self
+    }
+
+    /// Answers the request to its end.
+    pub async fn run(mut self) {
+        let _in_flight = self.work.in_flight.take();
+        let result = self.drive().await;
+        self.settle(result).await;
+    }
+
+    async fn drive(&mut self) -> Result<Step, Fault> {
+        let mut resumed = 0;
+        while self.attempt < ATTEMPTS && resumed < RESUME_TRIES {
+            let Some(permit) = self.permit().await? else {
+                return Ok(Step::CallerGone);
+            };
+            self.win().await?;
+            let before = self.sent;
+            let step = self.try_once(&permit).await;
+            self.attempt += 1;
+            resumed = if self.sent > before { 0 } else { resumed };
+            drop(permit);
+            match step {
+                Step::Again if self.held.is_some() && !self.movable() => {
+                    tokio::time::sleep(RESUME_WAIT * 2_u32.pow(resumed)).await;
+                    resumed += 1;
+                }
+                Step::Again => {}
+                Step::Fail(fault) => return Err(fault),
+                step => return Ok(step),
+            }
+        }
+        Err(self.cut("the request failed on too many engines"))
+    }
+
+    /// Waits for an engine; none when the caller went away first.
+    async fn permit(&mut self) -> Result<Option<Permit>, Fault> {
+        let mut ticket = self.work.ticket.clone();
+        ticket.label.begun = self.reached;
+        ticket.prefer = self.held.as_ref().map(|h| h.server);
+        let pinned = self.held.as_ref().filter(|h| {
+            let resumed = h.server == ServerId::default();
+            resumed || !self.movable()
+        });
+        if let Some(held) = pinned {
+            if let Some(permit) = self.work.pool.rejoin(&held.name, &ticket) {
+                return Ok(Some(permit));
+            }
+            self.abandon_stream()?;
+        }
+        let deadline = self.work.deadline.filter(|_| !self.reached);
+        let enter = self.work.enter(ticket, deadline);
+        tokio::select! {
+            permit = enter => permit.map(Some),
+            () = self.out.closed() => Ok(None),
+        }
+    }
+
+    async fn win(&mut self) -> Result<(), Fault> {
+        if let (Some(key), None, false) = (self.work.key, &self.claim, self.reached) {
+            self.claim = Some(Claim::win(&self.work.node, key).await?);
+        }
+        Ok(())
+    }
+
+    /// Whether the request may go on at another engine.
+    const fn movable(&self) -> bool {
+        self.work.class.idempotent && self.known && (self.inference.continuable || self.sent == 0)
+    }
+
+    /// Gives up the stream at the engine that held it; fails when the answer can't go on elsewhere.
+    fn abandon_stream(&mut self) -> Result<(), Fault> {
+        self.held = None;
+        if self.movable() {
+            Ok(())
+        } else {
+            Err(self.cut("the engine no longer has the stream"))
+        }
+    }
+
+    fn cut(&self, message: &str) -> Fault {
+        let kind = match (self.work.class.idempotent, self.sent) {
+            (_, 0) | (false, _) => Kind::OutcomeUnknown,
+            (true, _) if !self.known => Kind::StreamLost,
+            (true, _) => Kind::AnswerCut,
+        };
+        Fault::new(kind, message)
+    }
+
+    async fn try_once(&mut self, permit: &Permit) -> Step {
+        let call = self.call(permit);
+        let resumed = call.method == Method::GET;
+        let expected = self
+            .held
+            .as_ref()
+            .map_or_else(SmolStr::default, |h| h.stream.clone());
+        let response = match self.dispatch(permit, call).await {
+            Ok(response) => response,
+            Err(step) => return step,
+        };
+        if let Some(report) = backend::load(response.headers()) {
+            permit.heard(report);
+        }
+        if response.status() != StatusCode::OK {
+            return self.refused(permit, response, resumed).await;
+        }
+        let echo = response.headers().get(backend::REQUEST_ID);
+        if echo.is_none_or(|id| id.as_bytes() != expected.as_bytes()) {
+            return self.crossed(permit);
+        }
+        self.read(permit, response).await
+    }
+
+    /// The call for this attempt: the held stream's rest where this engine has it, else a new stream.
+    fn call(&mut self, permit: &Permit) -> Call {
+        let mut headers = HeaderMap::new();
+        headers.insert(
+            header::CONTENT_TYPE,
+            HeaderValue::from_static("application/json"),
+        );
+        headers.insert("x-keep-ms", HeaderValue::from_static(KEEP_MS));
+        let here = self.held.take_if(|h| h.name == permit.declared.name);
+        if let Some(held) = &here {
+            let path = format!(
+                "/v1/streams/{}?after={}&priority={}",
+                held.stream, held.offset, permit.priority
+            );
+            self.held = Some(Held {
+                server: permit.server,
+                ..held.clone()
+            });
+            return Call {
+                address: permit.declared.address,
+                method: Method::GET,
+                path,
+                headers,
+                body: Bytes::new(),
+            };
+        }
+        if let Some(old) = self.held.take() {
+            self.work.cancel(&old.name, &old.stream);
+        }
+        let stream = format_smolstr!("{}-{:02}", self.id, self.attempt % 100);
+        if let Ok(value) = HeaderValue::from_str(&stream) {
+            headers.insert(backend::REQUEST_ID, value);
+        }
+        self.held = Some(Held {
+            server: permit.server,
+            name: permit.declared.name.clone(),
+            stream,
+            offset: 0,
+        });
+        Call {
+            address: permit.declared.address,
+            method: Method::POST,
+            path: self.inference.shape.path().into(),
+            headers,
+            body: self.inference.body(permit.priority, &self.text, self.sent),
+        }
+    }
+
+    async fn dispatch(&mut self, permit: &Permit, call: Call) -> Result<Response<Incoming>, Step> {
+        let resumed = call.method == Method::GET;
+        let mut order = permit.order.clone();
+        if let Some(claim) = &mut self.claim {
+            claim.dispatched = true;
+        }
+        let backends = &self.work.node.backends;
+        let send = async {
+            if self.work.class.idempotent || resumed {
+                backends.send(call).await
+            } else {
+                backends.send_once(call).await
+            }
+        };
+        let outcome = tokio::select! {
+            outcome = send => outcome,
+            _ = order.wait_for(|o| *o == Order::ServerDown) => {
+                Err(Error::NoReply("the engine is down".into()))
+            }
+        };
+        match outcome {
+            Ok(response) => {
+                self.reached = true;
+                Ok(response)
+            }
+            Err(Error::NotSent(reason)) => Err(self.not_sent(permit, resumed, &reason)),
+            Err(Error::NoReply(_)) => {
+                self.reached = true;
+                Err(self.lost(permit, false))
+            }
+        }
+    }
+
+    fn not_sent(&mut self, permit: &Permit, resumed: bool, reason: &str) -> Step {
+        permit.failed(true);
+        self.work.node.metrics.count("backend.not_sent");
+        if let (Some(claim), false) = (&mut self.claim, self.reached) {
+            claim.dispatched = false;
+        }
+        if resumed && !self.movable() {
+            return Step::Again;
+        }
+        self.held = None;
+        self.work.ticket.avoid.push(permit.server);
+        if self.reached || self.work.pool.retry() {
+            Step::Again
+        } else {
+            Step::Fail(Fault::new(
+                Kind::NoBackendServer,
+                format!("no backend server could be reached: {reason}"),
+            ))
+        }
+    }
+
+    /// The connection broke, or the engine went down, with the request on its way or running.
+    fn lost(&mut self, permit: &Permit, down: bool) -> Step {
+        permit.failed(down);
+        self.work.node.metrics.count("backend.lost");
+        if self.movable() {
+            self.work.ticket.avoid.push(permit.server);
+            if let Some(held) = self.held.take() {
+                self.work.cancel(&held.name, &held.stream);
+            }
+        }
+        Step::Again
+    }
+
+    fn crossed(&mut self, permit: &Permit) -> Step {
+        log::warn!("server={} answer=crossed", permit.declared.name);
+        self.work.node.metrics.count("backend.crossed");
+        permit.failed(false);
+        if self.movable() {
+            self.work.ticket.avoid.push(permit.server);
+            if let Some(held) = self.held.take() {
+                self.work.cancel(&held.name, &held.stream);
+            }
+            Step::Again
+        } else {
+            Step::Again
+        }
+    }
+
+    async fn refused(
+        &mut self,
+        permit: &Permit,
+        response: Response<Incoming>,
+        resumed: bool,
+    ) -> Step {
+        let status = response.status();
+        let not_run = response
+            .headers()
+            .get(backend::RAN)
+            .is_some_and(|v| v == "no");
+        let body = backend::small_body(response).await.unwrap_or_default();
+        match status {
+            _ if resumed && status == StatusCode::NOT_FOUND => match self.abandon_stream() {
+                Ok(()) => Step::Again,
+                Err(fault) => Step::Fail(fault),
+            },
+            StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE if not_run => {
+                self.held = None;
+                self.work.ticket.avoid.push(permit.server);
+                self.not_run();
+                if self.reached || self.work.pool.retry() {
+                    Step::Again
+                } else {
+                    Step::Fail(
+                        Fault::new(Kind::Overloaded, "the backend servers are full")
+                            .retry_after(Duration::from_secs(1)),
+                    )
+                }
+            }
+            _ if status.is_client_error() => {
+                self.not_run();
+                let reason = String::from_utf8_lossy(&body);
+                Step::Fail(Fault::new(
+                    Kind::BackendRefused,
+                    format!("{status}: {reason}"),
+                ))
+            }
+            _ => self.lost(permit, false),
+        }
+    }
+
+    /// Takes back that the only attempt reached an engine, as the engine says it didn't run it.
+    fn not_run(&mut self) {
+        if self.attempt == 0 {
+            self.reached = false;
+            if let Some(claim) = &mut self.claim {
+                claim.dispatched = false;
+            }
+        }
+    }
+
+    async fn read(&mut self, permit: &Permit, response: Response<Incoming>) -> Step {
+        let mut order = permit.order.clone();
+        let mut body = response.into_body();
+        let mut reader = Reader::default();
+        let mut gap = Gap::default();
+        let signer = self.signer();
+        let mut started = false;
+        loop {
+            let wait = if started {
+                STALL
+            } else {
+                Duration::from_hours(1)
+            };
+            let frame = tokio::select! {
+                biased;
+                _ = order.wait_for(|o| *o != Order::Run) => {
+                    return match *permit.order.borrow() {
+                        Order::Preempt => Step::Again,
+                        _ => self.lost(permit, false),
+                    };
+                }
+                () = self.out.closed(), if self.claim.is_none() => return Step::CallerGone,
+                frame = tokio::time::timeout(wait, body.frame()) => frame,
+            };
+            let Ok(Some(Ok(frame))) = frame else {
+                return self.lost(permit, false);
+            };
+            let Ok(data) = frame.into_data() else {
+                continue;
+            };
+            reader.feed(&data);
+            loop {
+                let event = match reader.event() {
+                    Ok(Some(event)) => event,
+                    Ok(None) => break,
+                    Err(_) => return self.lost(permit, false),
+                };
+                if !started {
+                    started = true;
+                    permit.started();
+                }
+                gap.token(permit);
+                if let Some(step) = self.event(permit, &signer, &event).await {
+                    return step;
+                }
+            }
+        }
+    }
+
+    fn signer(&self) -> StreamSigner {
+        let (name, stream) = self
+            .held
+            .as_ref()
+            .map_or(("", ""), |h| (&h.name, &h.stream));
+        self.work
+            .node
+            .signer
+            .stream(&self.work.ticket.label.organisation, name, stream)
+    }
+
+    async fn event(
+        &mut self,
+        permit: &Permit,
+        signer: &StreamSigner,
+        event: &Event,
+    ) -> Option<Step> {
+        if &event.data[..] == b"[DONE]" {
+            permit.completed(self.sent);
+            return Some(Step::Done);
+        }
+        let Ok(chunk) = serde_json::from_slice::<Chunk<'_>>(&event.data) else {
+            return Some(self.lost(permit, false));
+        };
+        let held = self.held.as_mut()?;
+        if chunk.id != held.stream.as_str() {
+            return Some(self.crossed(permit));
+        }
+        let offset = event.id.unwrap_or(held.offset + 1);
+        match offset {
+            _ if offset <= held.offset => return None,
+            _ if offset > held.offset + 1 => return Some(self.lost(permit, false)),
+            _ => held.offset = offset,
+        }
+        if let Some(text) = chunk.text() {
+            self.text.push_str(text);
+            self.sent += u64::from(!text.is_empty());
+        }
+        if let Some(reason) = chunk.finish_reason() {
+            self.finish = reason.clone();
+        }
+        let only_usage = chunk.choices.is_empty() && chunk.usage.is_some();
+        if chunk.usage.is_some() {
+            self.usage = chunk.usage;
+        }
+        if only_usage && !self.inference.usage {
+            return None;
+        }
+        let token = signer.token(offset, self.sent);
+        let sent = self.out.event(&token, &event.data).await;
+        if sent || self.claim.is_some() {
+            None
+        } else {
+            Some(Step::CallerGone)
+        }
+    }
+
+    async fn settle(mut self, result: Result<Step, Fault>) {
+        let claim = self.claim.take();
+        match result {
+            Ok(Step::CallerGone) => {
+                self.work.node.metrics.count("caller.gone");
+                Self::give_back(claim, Progress::Unknown).await;
+            }
+            Ok(_) => {
+                self.work.node.metrics.count("answer.complete");
+                Self::give_back(claim, Progress::Complete).await;
+                let Self {
+                    inference,
+                    id,
+                    text,
+                    finish,
+                    usage,
+                    out,
+                    ..
+                } = self;
+                out.finish(|| inference.whole(&id, &text, &finish, usage.as_ref()))
+                    .await;
+            }
+            Err(fault) => {
+                let fault = self.truthful(fault, claim).await;
+                self.work.node.metrics.count(fault.kind.answer().name);
+                self.out.fail(fault).await;
+            }
+        }
+    }
+
+    /// Notes on the claim how the request went; one that wasn't dispatched gives its key back.
+    async fn give_back(claim: Option<Claim>, progress: Progress) -> bool {
+        match claim {
+            Some(claim) if claim.dispatched => {
+                claim.settle(progress);
+                true
+            }
+            Some(claim) => claim.release().await,
+            None => true,
+        }
+    }
+
+    /// The fault, unless it says that the request wasn't run and that isn't certain.
+    async fn truthful(&self, fault: Fault, claim: Option<Claim>) -> Fault {
+        let dispatched = claim.as_ref().is_some_and(|c| c.dispatched);
+        let released = Self::give_back(claim, Progress::Unknown).await;
+        let certain = !self.reached && !dispatched && released;
+        match fault.kind.answer().ran {
+            Ran::No if !certain => Fault::new(Kind::OutcomeUnknown, fault.message),
+            _ => fault,
+        }
+    }
+}
+
+/// Measures the gap between tokens.
+#[derive(Default)]
+struct Gap {
+    since: Option<Instant>,
+    tokens: u32,
+}
+
+impl Gap {
+    fn token(&mut self, permit: &Permit) {
+        let now = Instant::now();
+        match self.since {
+            None => self.since = Some(now),
+            Some(since) if self.tokens + 1 >= GAP_TOKENS => {
+                let gap = now.saturating_duration_since(since) / GAP_TOKENS;
+                permit.glimpsed(gap.as_secs_f64() * 1_000.0);
+                self.since = Some(now);
+                self.tokens = 0;
+            }
+            Some(_) => self.tokens += 1,
+        }
+    }
+}
+
+/// Starts a relay and waits for the beginning of its answer.
+///
+/// # Errors
+/// The fault with which the request ended before its answer began.
+pub async fn answer(
+    work: Work,
+    inference: Inference,
+    position: Option<Position>,
+) -> Result<Response<crate::output::Body>, Fault> {
+    let write_timeout = Duration::from_millis(work.node.settings.limits.write_timeout_ms);
+    let (out, head) = Output::new(inference.stream, write_timeout);
+    let relay = Relay::new(work, inference, out);
+    let relay = match position {
+        Some(position) => relay.resuming(&position),
+        None => relay,
+    };
+    tokio::spawn(relay.run());
+    head.await.unwrap_or_else(|_| {
+        Err(Fault::new(
+            Kind::Internal,
+            "the relay ended without an answer",
+        ))
+    })
+}
--- /dev/null
+++ b/crates/router/src/service.rs
@@ -0,0 +1,240 @@
+//! Answers one request for a plain service.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Method, Response, StatusCode, header};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use tokio::sync::oneshot;
+
+use crate::backend::{self, Call, Error};
+use crate::claim::Claim;
+use crate::claims::Progress;
+use crate::error::{Fault, Kind, Ran};
+use crate::output::{self, Body};
+use crate::pool::{Order, Permit};
+use crate::work::Work;
+
+/// Servers that one request may take.
+const ATTEMPTS: u32 = 6;
+/// Headers of a caller that are passed on to the service.
+const PASSED: [header::HeaderName; 4] = [
+    header::ACCEPT,
+    header::CONTENT_TYPE,
+    header::ACCEPT_LANGUAGE,
+    header::CONTENT_LANGUAGE,
+];
+
+/// A request for a plain service.
+pub struct Request {
+    /// The method.
+    pub method: Method,
+    /// Path and query below the service's name.
+    pub path: String,
+    /// The caller's headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
+struct Run {
+    work: Work,
+    request: Request,
+    claim: Option<Claim>,
+    reached: bool,
+}
+
+/// Answers a request for a plain service; goes on to its end even if the caller goes away.
+///
+/// # Errors
+/// The fault with which the request ended.
+pub async fn answer(work: Work, request: Request) -> Result<Response<Body>, Fault> {
+    let (reply, answer) = oneshot::channel();
+    tokio::spawn(async move {
+        let run = Run {
+            work,
+            request,
+            claim: None,
+            reached: false,
+        };
+        let _ = reply.send(run.run().await);
+    });
+    answer.await.unwrap_or_else(|_| {
+        Err(Fault::new(
+            Kind::Internal,
+            "the request ended without an answer",
+        ))
+    })
+}
+
+impl Run {
+    async fn run(mut self) -> Result<Response<Body>, Fault> {
+        let _in_flight = self.work.in_flight.take();
+        let result = self.drive().await;
+        let progress = match &result {
+            Ok(_) => Progress::Complete,
+            Err(_) => Progress::Unknown,
+        };
+        let released = match self.claim.take() {
+            Some(claim) if claim.dispatched => {
+                claim.settle(progress);
+                true
+            }
+            Some(claim) => claim.release().await,
+            None => true,
+        };
+        let certain = !self.reached && released;
+        let result = result.map_err(|fault| match fault.kind.answer().ran {
+            Ran::No if !certain => Fault::new(Kind::OutcomeUnknown, fault.message),
+            _ => fault,
+        });
+        let metrics = &self.work.node.metrics;
+        metrics.count(
+            result
+                .as_ref()
+                .map_or_else(|f| f.kind.answer().name, |_| "answer.complete"),
+        );
+        result
+    }
+
+    async fn drive(&mut self) -> Result<Response<Body>, Fault> {
+        for _ in 0..ATTEMPTS {
+            let mut ticket = self.work.ticket.clone();
+            ticket.label.begun = self.reached;
+            let deadline = self.work.deadline.filter(|_| !self.reached);
+            let permit = self.work.enter(ticket, deadline).await?;
+            if let (Some(key), None) = (self.work.key, &self.claim) {
+                self.claim = Some(Claim::win(&self.work.node, key).await?);
+            }
+            if let Some(response) = self.try_once(&permit).await? {
+                return Ok(response);
+            }
+            self.work.ticket.avoid.push(permit.server);
+            if !self.work.pool.retry() {
+                break;
+            }
+        }
+        Err(
+            Fault::new(Kind::NoBackendServer, "no backend server could be reached")
+                .retry_after(Duration::from_secs(1)),
+        )
+    }
+
+    /// One try; none when another is allowed.
+    async fn try_once(&mut self, permit: &Permit) -> Result<Option<Response<Body>>, Fault> {
+        let id = format!("jt-{}", uuid::Uuid::new_v4().simple());
+        let call = self.call(permit, &id);
+        if let Some(claim) = &mut self.claim {
+            claim.dispatched = true;
+        }
+        permit.started();
+        let mut order = permit.order.clone();
+        let limit = self.work.node.settings.limits.body_bytes;
+        let exchange = async {
+            let backends = &self.work.node.backends;
+            let response = if self.work.class.idempotent {
+                backends.send(call).await?
+            } else {
+                backends.send_once(call).await?
+            };
+            whole(response, limit).await
+        };
+        let result = tokio::select! {
+            result = exchange => result,
+            _ = order.wait_for(|o| *o == Order::ServerDown) => {
+                Err(Error::NoReply("the server is down".into()))
+            }
+        };
+        match result {
+            Ok(response) => self.judge(permit, &id, response),
+            Err(Error::NotSent(_)) => {
+                permit.failed(true);
+                self.undispatched();
+                Ok(None)
+            }
+            Err(Error::NoReply(reason)) => {
+                permit.failed(false);
+                self.again_or_unknown(&reason)
+            }
+        }
+    }
+
+    fn call(&self, permit: &Permit, id: &str) -> Call {
+        let mut headers = HeaderMap::new();
+        for name in PASSED {
+            if let Some(value) = self.request.headers.get(&name) {
+                headers.insert(name, value.clone());
+            }
+        }
+        if let Ok(value) = HeaderValue::from_str(id) {
+            headers.insert(backend::REQUEST_ID, value);
+        }
+        if let Some(value) = self.request.headers.get("idempotency-key") {
+            headers.insert("idempotency-key", value.clone());
+        }
+        Call {
+            address: permit.declared.address,
+            method: self.request.method.clone(),
+            path: self.request.path.clone(),
+            headers,
+            body: self.request.body.clone(),
+        }
+    }
+
+    fn judge(
+        &mut self,
+        permit: &Permit,
+        id: &str,
+        response: Response<Bytes>,
+    ) -> Result<Option<Response<Body>>, Fault> {
+        let not_run = response
+            .headers()
+            .get(backend::RAN)
+            .is_some_and(|v| v == "no");
+        if not_run && response.status() == StatusCode::SERVICE_UNAVAILABLE {
+            self.undispatched();
+            return Ok(None);
+        }
+        let echo = response.headers().get(backend::REQUEST_ID);
+        if echo.is_none_or(|e| e.as_bytes() != id.as_bytes()) {
+            self.work.node.metrics.count("backend.crossed");
+            log::warn!("server={} answer=crossed", permit.declared.name);
+            permit.failed(false);
+            return self.again_or_unknown("the server gave another request's answer");
+        }
+        permit.completed(1);
+        let (head, body) = response.into_parts();
+        let mut answer = output::json_response(head.status, body);
+        if let Some(kind) = head.headers.get(header::CONTENT_TYPE) {
+            answer
+                .headers_mut()
+                .insert(header::CONTENT_TYPE, kind.clone());
+        }
+        Ok(Some(answer))
+    }
+
+    fn undispatched(&mut self) {
+        if let (Some(claim), false) = (&mut self.claim, self.reached) {
+            claim.dispatched = false;
+        }
+    }
+
+    fn again_or_unknown(&mut self, reason: &str) -> Result<Option<Response<Body>>, Fault> {
+        self.reached = true;
+        if self.work.class.idempotent {
+            Ok(None)
+        } else {
+            Err(Fault::new(Kind::OutcomeUnknown, reason))
+        }
+    }
+}
+
+async fn whole(response: Response<Incoming>, limit: usize) -> Result<Response<Bytes>, Error> {
+    let (head, body) = response.into_parts();
+    let body = Limited::new(body, limit)
+        .collect()
+        .await
+        .map_err(|e| Error::NoReply(e.to_string()))?;
+    Ok(Response::from_parts(head, body.to_bytes()))
+}
--- /dev/null
+++ b/crates/router/src/work.rs
@@ -0,0 +1,61 @@
+//! What is known of a caller's request once it is admitted to a pool.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::Instant;
+use uuid::Uuid;
+
+use crate::error::{Fault, Kind};
+use crate::node::{InFlight, Node};
+use crate::object::Class;
+use crate::pool::{Permit, Pool, Ticket};
+
+/// A caller's request.
+pub struct Work {
+    /// The instance.
+    pub node: Arc<Node>,
+    /// The pool that runs it.
+    pub pool: Arc<Pool>,
+    /// The request's class.
+    pub class: Class,
+    /// What the pool needs to know.
+    pub ticket: Ticket,
+    /// The idempotency key, where the class needs one.
+    pub key: Option<Uuid>,
+    /// The time by which the caller wants to be served, if it said so.
+    pub deadline: Option<Instant>,
+    /// Keeps a leaving instance running.
+    pub in_flight: Option<InFlight>,
+}
+
+impl Work {
+    /// Waits for a backend server, at most until `deadline`.
+    ///
+    /// # Errors
+    /// Those of the pool, and `deadline_exceeded`.
+    pub async fn enter(&self, ticket: Ticket, deadline: Option<Instant>) -> Result<Permit, Fault> {
+        let enter = self.pool.enter(ticket);
+        match deadline {
+            None => enter.await,
+            Some(deadline) => match tokio::time::timeout_at(deadline, enter).await {
+                Ok(result) => result,
+                Err(_) => Err(Fault::new(
+                    Kind::DeadlineExceeded,
+                    "the deadline passed while the request waited",
+                )
+                .retry_after(Duration::from_secs(1))),
+            },
+        }
+    }
+
+    /// Tells a backend server to give up a stream, without waiting for it.
+    pub fn cancel(&self, server: &str, stream: &str) {
+        let servers = self.pool.servers();
+        let Some((_, declared)) = servers.into_iter().find(|(_, s)| s.name == server) else {
+            return;
+        };
+        let (node, stream) = (Arc::clone(&self.node), stream.to_owned());
+        tokio::spawn(async move { node.backends.cancel(declared.address, &stream).await });
+    }
+}
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,18 @@
+//! Stand-ins for the outside systems, and the bench that runs instances against them.
+
+pub mod bench;
+pub mod caller;
+pub mod configuration;
+pub mod deployment;
+pub mod engine;
+pub mod faults;
+pub mod http_server;
+pub mod instances;
+pub mod ledger;
+pub mod naive;
+pub mod network;
+pub mod platform;
+pub mod report;
+pub mod traffic;
+pub mod verdict;
+pub mod world;
--- /dev/null
+++ b/crates/standins/src/naive.rs
@@ -0,0 +1,147 @@
+//! The baseline: a plain router that sends each request to the next server in turn, first come first
+//! served, and tries the next server when one fails.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use jackdawtally::backend::{Backends, Call, REQUEST_ID};
+use jackdawtally::output::{self, Body};
+use serde_json::{Value, json};
+use smol_str::SmolStr;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+
+use crate::http_server;
+
+/// Servers that a request is tried at.
+const TRIES: usize = 3;
+
+/// A plain router.
+pub struct Naive {
+    pools: HashMap<SmolStr, Vec<SocketAddr>>,
+    next: AtomicUsize,
+    backends: Backends,
+    instances: Value,
+}
+
+impl Naive {
+    /// A router over these pools, which tells callers of `instances`.
+    #[must_use]
+    pub fn new(pools: HashMap<SmolStr, Vec<SocketAddr>>, instances: Value) -> Arc<Self> {
+        Arc::new(Self {
+            pools,
+            next: AtomicUsize::new(0),
+            backends: Backends::default(),
+            instances,
+        })
+    }
+
+    /// Serves callers for ever.
+    pub async fn serve(self: Arc<Self>, listener: TcpListener) {
+        http_server::serve(listener, move |request| Arc::clone(&self).answer(request)).await;
+    }
+
+    async fn answer(self: Arc<Self>, request: Request<Bytes>) -> Response<Body> {
+        let path = request.uri().path().to_owned();
+        if path == "/v1/entries" {
+            return output::json_response(StatusCode::OK, self.instances.to_string().into());
+        }
+        let body: Value = serde_json::from_slice(request.body()).unwrap_or_default();
+        let pool = match path.strip_prefix("/services/") {
+            Some(rest) => format!("service/{}", rest.split('/').next().unwrap_or_default()),
+            None => format!("model/{}", body["model"].as_str().unwrap_or_default()),
+        };
+        let path = match path
+            .strip_prefix("/services/")
+            .and_then(|r| r.split_once('/'))
+        {
+            Some((_, rest)) => format!("/{rest}"),
+            None => path,
+        };
+        let servers = self.pools.get(pool.as_str()).cloned().unwrap_or_default();
+        for _ in 0..TRIES.min(servers.len()) {
+            let turn = self.next.fetch_add(1, Ordering::Relaxed);
+            let address = servers[turn % servers.len()];
+            let call = self.call(address, &path, &body, turn);
+            if let Ok(response) = self.backends.send(call).await
+                && response.status() == StatusCode::OK
+            {
+                return relay(response, body["stream"] == Value::Bool(true)).await;
+            }
+        }
+        let body = json!({"error": {"kind": "bad_gateway", "ran": "no"}}).to_string();
+        output::json_response(StatusCode::BAD_GATEWAY, body.into())
+    }
+
+    fn call(&self, address: SocketAddr, path: &str, body: &Value, turn: usize) -> Call {
+        let mut headers = HeaderMap::new();
+        if let Ok(id) = format!("naive-{self:p}-{turn}").parse() {
+            headers.insert(REQUEST_ID, id);
+        }
+        let mut body = body.clone();
+        if body.get("model").is_some() {
+            body["stream"] = json!(true);
+        }
+        Call {
+            address,
+            method: http::Method::POST,
+            path: path.into(),
+            headers,
+            body: body.to_string().into(),
+        }
+    }
+}
+
+async fn relay(response: Response<Incoming>, stream: bool) -> Response<Body> {
+    let is_events = response.headers().get(REQUEST_ID).is_some()
+        && !response.headers().contains_key("content-type");
+    let mut body = response.into_body();
+    if stream {
+        let (pieces, receiver) = mpsc::channel(64);
+        tokio::spawn(async move {
+            while let Ok(Some(Ok(frame))) =
+                tokio::time::timeout(Duration::from_mins(1), body.frame()).await
+            {
+                let Ok(data) = frame.into_data() else {
+                    continue;
+                };
+                if pieces.send(data).await.is_err() {
+                    return;
+                }
+            }
+        });
+        return Response::new(Body::Stream(receiver));
+    }
+    let Ok(body) = body.collect().await else {
+        let body = json!({"error": {"kind": "bad_gateway", "ran": "unknown"}}).to_string();
+        return output::json_response(StatusCode::BAD_GATEWAY, body.into());
+    };
+    let body = body.to_bytes();
+    let answer = if is_events { whole(&body) } else { body };
+    output::json_response(StatusCode::OK, answer)
+}
+
+/// The whole answer that an event stream makes.
+fn whole(events: &[u8]) -> Bytes {
+    let text = String::from_utf8_lossy(events);
+    let content: String = text
+        .lines()
+        .filter_map(|l| l.strip_prefix("data: "))
+        .filter_map(|d| serde_json::from_str::<Value>(d).ok())
+        .filter_map(|v| {
+            v["choices"][0]["delta"]["content"]
+                .as_str()
+                .map(ToOwned::to_owned)
+        })
+        .collect();
+    json!({"choices": [{"message": {"content": content}}]})
+        .to_string()
+        .into()
+}
--- /dev/null
+++ b/crates/standins/src/verdict.rs
@@ -0,0 +1,314 @@
+//! Judges a run by the ledgers of the stand-ins and by what its callers saw.
+
+use std::collections::{HashMap, HashSet};
+use std::time::Duration;
+
+use smol_str::SmolStr;
+use tokio::time::Instant;
+
+use crate::caller::{Answer, End};
+use crate::deployment::Deployment;
+use crate::ledger::{Records, Start, Tag};
+
+/// Time around a refusal within which less important work counts as waiting or started beside it.
+const BESIDE: Duration = Duration::from_millis(250);
+/// Time after a pause within which less important work counts as started in its place.
+const IN_PLACE: Duration = Duration::from_millis(50);
+
+/// What a run did that must never happen.
+#[derive(Clone, Debug, Default)]
+pub struct Violations {
+    /// A request gave way while less important work waited or started.
+    pub tier_inversion: Vec<String>,
+    /// A class that waited made no progress within its bound.
+    pub starved: Vec<String>,
+    /// An accepted request that may be repeated didn't get its whole answer.
+    pub incomplete: Vec<String>,
+    /// A caller got a piece of another request's answer.
+    pub crossed: Vec<String>,
+    /// A request that must not run twice did.
+    pub ran_twice: Vec<String>,
+    /// A caller was told that its request wasn't run, and it was.
+    pub false_not_run: Vec<String>,
+    /// A leaving server was offered work too late.
+    pub work_after_leaving: Vec<String>,
+    /// A planned stop cut a request off.
+    pub cut_by_stop: Vec<String>,
+    /// An instance went back to an older configuration.
+    pub config_reverted: Vec<String>,
+    /// A change wasn't in force everywhere in time.
+    pub config_late: Vec<String>,
+}
+
+impl Violations {
+    /// Each kind with its cases.
+    #[must_use]
+    pub fn all(&self) -> [(&'static str, &Vec<String>); 10] {
+        [
+            ("tier_inversion", &self.tier_inversion),
+            ("starved", &self.starved),
+            ("incomplete", &self.incomplete),
+            ("crossed", &self.crossed),
+            ("ran_twice", &self.ran_twice),
+            ("false_not_run", &self.false_not_run),
+            ("work_after_leaving", &self.work_after_leaving),
+            ("cut_by_stop", &self.cut_by_stop),
+            ("config_reverted", &self.config_reverted),
+            ("config_late", &self.config_late),
+        ]
+    }
+}
+
+/// A run as it is judged.
+pub struct Evidence<'a> {
+    /// The deployment.
+    pub deployment: &'a Deployment,
+    /// When the run began.
+    pub began: Instant,
+    /// What the callers saw.
+    pub answers: &'a [Answer],
+    /// What the servers ran.
+    pub records: &'a Records,
+    /// How many instances there were.
+    pub instances: usize,
+    /// Instances that were asked to leave, and when.
+    pub drained: &'a [(SmolStr, Instant)],
+}
+
+impl Evidence<'_> {
+    /// Judges everything but the configuration.
+    #[must_use]
+    pub fn judge(&self) -> Violations {
+        let starts = self.starts_by_tag();
+        let mut violations = Violations::default();
+        for answer in self.answers {
+            self.judge_answer(answer, &starts, &mut violations);
+        }
+        violations.tier_inversion = self.inversions(&starts);
+        violations.tier_inversion.extend(self.preempted_for_lower());
+        violations.starved = self.starved(&starts);
+        let late = self.records.after_leaving.iter();
+        violations.work_after_leaving = late
+            .map(|s| format!("{} request {} at {}", s.server, s.tag, self.at(s.at)))
+            .collect();
+        violations
+    }
+
+    fn at(&self, instant: Instant) -> String {
+        format!(
+            "{:.3}s",
+            instant.saturating_duration_since(self.began).as_secs_f64()
+        )
+    }
+
+    fn starts_by_tag(&self) -> HashMap<Tag, Vec<&Start>> {
+        let mut starts: HashMap<Tag, Vec<&Start>> = HashMap::new();
+        for start in &self.records.starts {
+            starts.entry(start.tag).or_default().push(start);
+        }
+        starts
+    }
+
+    fn judge_answer(
+        &self,
+        answer: &Answer,
+        starts: &HashMap<Tag, Vec<&Start>>,
+        v: &mut Violations,
+    ) {
+        let request = &answer.request;
+        let case = |what: &str| {
+            format!(
+                "request {} class {} sent {} ended {}: {what} ({:?}, {} of {} pieces)",
+                request.tag,
+                request.class,
+                self.at(answer.sent),
+                self.at(answer.ended),
+                answer.end,
+                answer.pieces,
+                request.length
+            )
+        };
+        let runs = starts
+            .get(&request.tag)
+            .into_iter()
+            .flatten()
+            .filter(|s| !s.resumed);
+        let runs: Vec<_> = runs.collect();
+        if answer.crossed {
+            v.crossed.push(case("another request's answer"));
+        }
+        if !request.idempotent && runs.len() > 1 {
+            v.ran_twice.push(case(&format!("ran {} times", runs.len())));
+        }
+        let not_run = matches!(&answer.end, End::Refused { ran, .. } if ran == "no");
+        if not_run && !runs.is_empty() {
+            let run = runs[0];
+            v.false_not_run.push(case(&format!(
+                "ran at {} on {}",
+                self.at(run.at),
+                run.server
+            )));
+        }
+        let whole = answer.end == End::Complete && !answer.broken;
+        let over = answer.end == End::Unfinished && !answer.broken && answer.cuts.is_empty();
+        if request.idempotent && !whole && !not_run && !over {
+            v.incomplete.push(case("no whole answer"));
+        }
+        if !request.idempotent && answer.end == End::Complete && answer.broken {
+            v.incomplete.push(case("said to be whole"));
+        }
+        for (instance, at) in &answer.cuts {
+            let stopped = self
+                .drained
+                .iter()
+                .any(|(id, since)| id == instance && since <= at);
+            if stopped && answer.pieces > 0 && answer.first.is_some_and(|first| first < *at) {
+                v.cut_by_stop.push(case(&format!("cut at {instance}")));
+            }
+        }
+    }
+
+    /// Requests that gave way while less important work of their pool waited or was started.
+    fn inversions(&self, starts: &HashMap<Tag, Vec<&Start>>) -> Vec<String> {
+        let guarded = self.guard_starts();
+        let mut found = Vec::new();
+        for shed in self.answers {
+            let gave_way = matches!(&shed.end, End::Refused { kind, .. } if kind == "overloaded");
+            if !gave_way {
+                continue;
+            }
+            let pool = shed.request.target.pool();
+            let lower = self.answers.iter().filter(|other| {
+                other.request.level > shed.request.level && other.request.target.pool() == pool
+            });
+            let mut waiting: HashMap<&SmolStr, Vec<&Answer>> = HashMap::new();
+            for other in lower {
+                let start = starts.get(&other.request.tag).and_then(|s| s.first());
+                let begun = start.map(|s| s.at);
+                let beside =
+                    begun.is_some_and(|at| at + BESIDE >= shed.ended && at <= shed.ended + BESIDE);
+                if beside && !guarded.contains(&other.request.tag) {
+                    found.push(self.inversion(shed, other, "started"));
+                }
+                let until = begun.unwrap_or(other.ended).min(other.ended);
+                if other.sent + BESIDE <= shed.ended && until > shed.ended + BESIDE {
+                    waiting.entry(&other.request.class).or_default().push(other);
+                }
+            }
+            // The starvation guard keeps the oldest request of a class at each instance.
+            for others in waiting.values().filter(|o| o.len() > self.instances) {
+                found.push(self.inversion(shed, others[0], &format!("{} waited", others.len())));
+            }
+        }
+        found
+    }
+
+    fn inversion(&self, shed: &Answer, other: &Answer, what: &str) -> String {
+        format!(
+            "request {} class {} sent {} gave way at {} while request {} class {} sent {}: {what}",
+            shed.request.tag,
+            shed.request.class,
+            self.at(shed.sent),
+            self.at(shed.ended),
+            other.request.tag,
+            other.request.class,
+            self.at(other.sent)
+        )
+    }
+
+    /// Requests that the starvation guard may have started: at their start they had waited for half
+    /// of their class's bound, or their class had made no progress anywhere for as long.
+    fn guard_starts(&self) -> HashSet<Tag> {
+        let sent: HashMap<Tag, &Answer> = self.answers.iter().map(|a| (a.request.tag, a)).collect();
+        let mut guarded = HashSet::new();
+        for start in &self.records.starts {
+            let Some(answer) = sent.get(&start.tag) else {
+                continue;
+            };
+            let class = self.deployment.class(&answer.request.class);
+            if start.at - answer.sent >= class.starvation().mul_f64(0.4) {
+                guarded.insert(start.tag);
+            }
+        }
+        guarded
+    }
+
+    fn preempted_for_lower(&self) -> Vec<String> {
+        let answers: HashMap<Tag, &Answer> =
+            self.answers.iter().map(|a| (a.request.tag, a)).collect();
+        let guarded = self.guard_starts();
+        let mut found = Vec::new();
+        for pause in &self.records.pauses {
+            let Some(paused) = answers.get(&pause.tag) else {
+                continue;
+            };
+            let in_place = self.records.starts.iter().filter(|s| {
+                s.server == pause.server && s.at >= pause.at && s.at <= pause.at + IN_PLACE
+            });
+            for start in in_place.filter(|s| s.tag != pause.tag && !guarded.contains(&s.tag)) {
+                let Some(other) = answers.get(&start.tag) else {
+                    continue;
+                };
+                let broken = paused
+                    .cuts
+                    .iter()
+                    .any(|(_, at)| *at + BESIDE * 4 >= pause.at);
+                if other.request.level > paused.request.level && !broken {
+                    found.push(self.inversion(paused, other, "took its slot"));
+                }
+            }
+        }
+        found
+    }
+
+    /// Classes that waited longer than their bound without any start.
+    fn starved(&self, starts: &HashMap<Tag, Vec<&Start>>) -> Vec<String> {
+        let class_of: HashMap<Tag, &SmolStr> = self
+            .answers
+            .iter()
+            .map(|a| (a.request.tag, &a.request.class))
+            .collect();
+        let mut progress: HashMap<(&SmolStr, SmolStr), Vec<Instant>> = HashMap::new();
+        let pools: HashMap<Tag, SmolStr> = self
+            .answers
+            .iter()
+            .map(|a| (a.request.tag, a.request.target.pool()))
+            .collect();
+        for start in &self.records.starts {
+            if let Some(class) = class_of.get(&start.tag) {
+                progress
+                    .entry((class, pools[&start.tag].clone()))
+                    .or_default()
+                    .push(start.at);
+            }
+        }
+        let mut found = Vec::new();
+        for answer in self.answers {
+            let class = self.deployment.class(&answer.request.class);
+            let own = starts.get(&answer.request.tag).and_then(|s| s.first());
+            let until = own.map_or(answer.ended, |s| s.at);
+            let key = (&answer.request.class, answer.request.target.pool());
+            let times = progress.get(&key).map(Vec::as_slice).unwrap_or_default();
+            let within = times
+                .iter()
+                .copied()
+                .filter(|t| *t > answer.sent && *t < until);
+            let ends = within.clone().chain([until]);
+            let begins = std::iter::once(answer.sent).chain(within);
+            let longest = begins
+                .zip(ends)
+                .map(|(a, b)| b.saturating_duration_since(a))
+                .max();
+            if longest.is_some_and(|gap| gap > class.starvation()) {
+                found.push(format!(
+                    "class {} at {}: request {} waited {:.1}s without progress of its class",
+                    class.name,
+                    self.at(answer.sent),
+                    answer.request.tag,
+                    longest.unwrap_or_default().as_secs_f64()
+                ));
+            }
+        }
+        found
+    }
+}
