Move targeted streams off stragglers, and preempt earlier

A straggler was judged after 3 samples of 16 tokens, 2 s at its speed, and streams that it already ran stayed there; unstarted requests waited 40% of their first-token target before they took a slot. Ruled out: the share-out between instances (the engines' queues were ordered by tier).

Change: gaps are sampled every 4 tokens; streams with a latency target move on to another engine when theirs is judged a straggler; preemption after 10% of the target.

--- a/crates/router/src/pool.rs
+++ b/crates/router/src/pool.rs
@@ -33,7 +33,7 @@
 /// Share of a class's bound after which the starvation guard acts.
 const GUARD_SHARE: f64 = 0.5;
 /// Share of the first-token target that a request is unstarted before it takes a running one's slot.
-const PREEMPT_SHARE: f64 = 0.4;
+const PREEMPT_SHARE: f64 = 0.1;
 /// Retries that one success pays for.
 const RETRY_SHARE: f64 = 0.2;
 /// Retries saved up at most.
@@ -66,11 +66,13 @@
     pub prefer: Option<ServerId>,
 }
 
-/// What a running request is told.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// What a running request is told; later variants are more urgent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Order {
     /// Go on.
     Run,
+    /// Go on at another server, if that is possible, as this one is too slow.
+    Move,
     /// Give the slot to a more important request, and come back.
     Preempt,
     /// The server is down.
@@ -720,8 +722,15 @@
         }
         gaps.sort_by(f64::total_cmp);
         let median = gaps[gaps.len() / 2];
-        for server in self.servers.values_mut() {
+        for (id, server) in &mut self.servers {
             if server.judge(median) {
+                let slow = self
+                    .grants
+                    .values()
+                    .filter(|g| g.server == id && g.targeted);
+                for grant in slow.filter(|_| server.straggling()) {
+                    grant.order.send_replace(Order::Move);
+                }
                 log::warn!(
                     "server={} straggling={}",
                     server.name(),
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -32,7 +32,7 @@
 /// Time that an engine keeps a stream whose reader went away.
 const KEEP_MS: &str = "15000";
 /// Tokens over which the gap between them is measured.
-const GAP_TOKENS: u32 = 16;
+const GAP_TOKENS: u32 = 4;
 
 /// A stream that an engine holds for this request.
 #[derive(Clone, Debug)]
@@ -329,6 +329,16 @@
         Step::Again
     }
 
+    /// Goes on at another engine, as this one is too slow.
+    fn move_on(&mut self, permit: &Permit) -> Step {
+        self.work.node.metrics.count("moved");
+        self.work.ticket.avoid.push(permit.server);
+        if let Some(held) = self.held.take() {
+            self.work.cancel(&held.name, &held.stream);
+        }
+        Step::Again
+    }
+
     fn crossed(&mut self, permit: &Permit) -> Step {
         log::warn!("server={} answer=crossed", permit.declared.name);
         self.work.node.metrics.count("backend.crossed");
@@ -403,6 +413,7 @@
         let mut gap = Gap::default();
         let signer = self.signer();
         let mut started = false;
+        let mut tolerated = Order::Run;
         loop {
             let wait = if started {
                 STALL
@@ -411,11 +422,16 @@
             };
             let frame = tokio::select! {
                 biased;
-                _ = order.wait_for(|o| *o != Order::Run) => {
-                    return match *permit.order.borrow() {
-                        Order::Preempt => Step::Again,
-                        _ => self.lost(permit, false),
-                    };
+                _ = order.wait_for(|o| *o > tolerated) => {
+                    let told = *permit.order.borrow();
+                    match told {
+                        Order::Preempt => return Step::Again,
+                        Order::Move if self.movable() => return self.move_on(permit),
+                        Order::Move | Order::Run => {}
+                        Order::ServerDown => return self.lost(permit, false),
+                    }
+                    tolerated = told;
+                    continue;
                 }
                 () = self.out.closed(), if self.claim.is_none() => return Step::CallerGone,
                 frame = tokio::time::timeout(wait, body.frame()) => frame,
