Say "not run" only when no submission of the key can have run

Cause: a claim protocol whose caller submits again elsewhere was explored completely, and broke its promise: a repeated submission that gave way was said not to have run while the first, at a paused instance, could still be dispatched. Ruled out: the writer of shards (its outcomes were right) and membership (the dead start was known as dead).

Change: a refusal before dispatch is noted in the platform unless the caller says that this is the key's first submission; what can't be confirmed is "unknown". Claims are held under a number made of name and start.

--- a/crates/router/src/callers.rs
+++ b/crates/router/src/callers.rs
@@ -18,6 +18,7 @@
 use uuid::Uuid;
 
 use crate::catalogue::Catalogue;
+use crate::claim::Submission;
 use crate::claims;
 use crate::error::{Fault, Kind};
 use crate::inference::{Inference, Shape};
@@ -28,6 +29,7 @@
 use crate::queue::Label;
 use crate::relay;
 use crate::service;
+use crate::token::Position;
 use crate::work::Work;
 
 /// Bytes that a waiting request holds beside its body.
@@ -247,14 +249,22 @@
     }
 }
 
-fn idempotency_key(class: &Class, headers: &HeaderMap) -> Result<Option<Uuid>, Fault> {
+/// Whether the caller says that it has not submitted the request before.
+fn is_first(headers: &HeaderMap) -> bool {
+    headers.get("x-submission").is_some_and(|v| v == "first")
+}
+
+fn submission(class: &Class, headers: &HeaderMap) -> Result<Option<Submission>, Fault> {
     if class.idempotent {
         return Ok(None);
     }
     let text = headers.get("idempotency-key").and_then(|v| v.to_str().ok());
     let key = text.and_then(|t| Uuid::try_parse(t).ok());
     match key.filter(|k| claims::key_ms(k).is_some()) {
-        Some(key) => Ok(Some(key)),
+        Some(key) => Ok(Some(Submission {
+            key,
+            first: is_first(headers),
+        })),
         None => Err(Fault::new(
             Kind::KeyRequired,
             format!(
@@ -320,7 +330,7 @@
     Ok(Work {
         node: Arc::clone(node),
         pool,
-        key: idempotency_key(class, headers)?,
+        submission: submission(class, headers)?,
         deadline: deadline(headers)?,
         class: class.clone(),
         ticket,
@@ -328,25 +338,43 @@
     })
 }
 
+/// A fault from before the request's key was looked at. The request may have run when it was submitted
+/// earlier.
+fn unlooked(headers: &HeaderMap, fault: Fault) -> Fault {
+    if headers.contains_key("idempotency-key") && !is_first(headers) {
+        fault.unsure()
+    } else {
+        fault
+    }
+}
+
 async fn infer(
     node: &Arc<Node>,
     shape: Shape,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Fault> {
     let (head, body) = request.into_parts();
+    let prepared = prepare_inference(node, shape, &head, body).await;
+    let (work, inference, position) = prepared.map_err(|f| unlooked(&head.headers, f))?;
+    relay::answer(work, inference, position).await
+}
+
+async fn prepare_inference(
+    node: &Arc<Node>,
+    shape: Shape,
+    head: &http::request::Parts,
+    body: Incoming,
+) -> Result<(Work, Inference, Option<Position>), Fault> {
     let catalogue = node.changelog.catalogue();
     let organisation = authenticate(&catalogue, &head.headers)?.name.clone();
     let body = read_body(node, body).await?;
     let inference = Inference::parse(shape, &body)?;
     let name = object::model_pool(&inference.model);
-    let pool = node
-        .pools
-        .get(&name)
-        .filter(|p| p.serves())
-        .ok_or_else(|| {
-            let message = format!("there is no model {}", inference.model);
-            Fault::new(Kind::UnknownModel, message)
-        })?;
+    let pool = node.pools.get(&name).filter(|p| p.serves());
+    let pool = pool.ok_or_else(|| {
+        let message = format!("there is no model {}", inference.model);
+        Fault::new(Kind::UnknownModel, message)
+    })?;
     let position = match head.headers.get("last-event-id") {
         None => None,
         Some(token) => {
@@ -355,11 +383,21 @@
         }
     };
     let work = admit(node, &head.headers, pool, body.len(), inference.prefix)?;
-    relay::answer(work, inference, position).await
+    Ok((work, inference, position))
 }
 
 async fn plain(node: &Arc<Node>, request: Request<Incoming>) -> Result<Response<Body>, Fault> {
     let (head, body) = request.into_parts();
+    let prepared = prepare_plain(node, &head, body).await;
+    let (work, request) = prepared.map_err(|f| unlooked(&head.headers, f))?;
+    service::answer(work, request).await
+}
+
+async fn prepare_plain(
+    node: &Arc<Node>,
+    head: &http::request::Parts,
+    body: Incoming,
+) -> Result<(Work, service::Request), Fault> {
     authenticate(&node.changelog.catalogue(), &head.headers)?;
     let rest = head.uri.path().trim_start_matches("/services/");
     let (name, path) = rest.split_once('/').unwrap_or((rest, ""));
@@ -375,12 +413,12 @@
     let body = read_body(node, body).await?;
     let work = admit(node, &head.headers, pool, body.len(), 0)?;
     let request = service::Request {
-        method: head.method,
+        method: head.method.clone(),
         path,
-        headers: head.headers,
+        headers: head.headers.clone(),
         body,
     };
-    service::answer(work, request).await
+    Ok((work, request))
 }
 
 async fn read_body(node: &Arc<Node>, body: Incoming) -> Result<Bytes, Fault> {
--- a/crates/router/src/claim.rs
+++ b/crates/router/src/claim.rs
@@ -1,4 +1,4 @@
-//! The claim of one request that must not run twice.
+//! The claim of one request that must not run twice, and what may be said when it ends.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -6,66 +6,112 @@
 use uuid::Uuid;
 
 use crate::claims::{Action, Attempt, Entry, Operation, Outcome, Progress};
-use crate::error::{Fault, Kind};
+use crate::error::{Fault, Kind, Ran};
 use crate::node::{self, Node};
 
+/// The idempotency key of a submission.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Submission {
+    /// The key.
+    pub key: Uuid,
+    /// Whether the caller says that it has not submitted the key before.
+    pub first: bool,
+}
+
 /// A key that this request's attempt has won.
 pub struct Claim {
     node: Arc<Node>,
-    key: Uuid,
+    submission: Submission,
     attempt: Attempt,
     /// Whether the request may have reached a backend server.
     pub dispatched: bool,
 }
 
 impl Claim {
-    /// Wins `key`, or tells how the request that has it went.
-    ///
-    /// # Errors
-    /// `idempotency_key_running`, `idempotency_key_complete`, `outcome_unknown`,
-    /// `idempotency_key_outside_window`, or `platform_unavailable`.
-    pub async fn win(node: &Arc<Node>, key: Uuid) -> Result<Self, Fault> {
-        let claim = Self {
+    fn new(node: &Arc<Node>, submission: Submission) -> Self {
+        Self {
             node: Arc::clone(node),
-            key,
+            submission,
             attempt: node::random_id(),
             dispatched: false,
-        };
-        match claim.submit(Action::Claim).await {
-            Outcome::Done => Ok(claim),
-            Outcome::Taken(entry) => Err(taken(node, &entry)),
-            Outcome::OutsideWindow => Err(Fault::new(
-                Kind::KeyOutsideWindow,
-                "the key's time is outside the window in which it can be claimed",
-            )),
-            Outcome::Unconfirmed => {
-                node.metrics.count("claims.unconfirmed");
-                // The write may land yet: give the key back, so that the caller may try again.
-                tokio::spawn(async move { claim.release().await });
-                Err(Fault::new(
-                    Kind::PlatformUnavailable,
-                    "the platform didn't confirm the claim, and the request was not run",
+        }
+    }
+
+    /// Wins a key, or tells how the request that has it went.
+    ///
+    /// # Errors
+    /// `idempotency_key_running`, `idempotency_key_complete`, `idempotency_key_not_run`,
+    /// `outcome_unknown`, `idempotency_key_stale`, `idempotency_key_outside_window`, or
+    /// `platform_unavailable`.
+    pub async fn win(node: &Arc<Node>, submission: Submission) -> Result<Self, Fault> {
+        let claim = Self::new(node, submission);
+        let outcome = claim.submit(Action::Claim).await;
+        if outcome == Outcome::Done {
+            return Ok(claim);
+        }
+        let fault = claim.lost(outcome);
+        if outcome == Outcome::Unconfirmed {
+            // The write may land yet: give the key back, so that the caller may try again.
+            tokio::spawn(async move { claim.submit(Action::Release).await });
+        }
+        Err(fault)
+    }
+
+    /// Why the key isn't this attempt's.
+    fn lost(&self, outcome: Outcome) -> Fault {
+        let first = self.submission.first;
+        match outcome {
+            Outcome::Taken(entry) => taken(&self.node, &entry),
+            Outcome::OutsideWindow => {
+                let kind = if first {
+                    Kind::KeyStale
+                } else {
+                    Kind::KeyOutsideWindow
+                };
+                Fault::new(
+                    kind,
+                    "the key's time is outside the window in which it can be claimed",
                 )
-                .retry_after(Duration::from_secs(2)))
+            }
+            Outcome::Done | Outcome::Unconfirmed => {
+                self.node.metrics.count("claims.unconfirmed");
+                let fault = Fault::new(Kind::PlatformUnavailable, "the platform didn't confirm");
+                let fault = fault.retry_after(Duration::from_secs(2));
+                if first { fault } else { fault.unsure() }
             }
         }
     }
 
-    /// Notes how the request went, without holding up its answer.
+    /// Notes how a dispatched request went, without holding up its answer.
     pub fn settle(self, progress: Progress) {
         tokio::spawn(async move { self.submit(Action::Settle(progress)).await });
     }
 
-    /// Gives the key back; tells whether the platform has confirmed it.
-    pub async fn release(self) -> bool {
-        self.submit(Action::Release).await == Outcome::Done
+    /// Ends a request whose caller has gone, without holding anything up.
+    pub fn abandon(self) {
+        if self.dispatched {
+            self.settle(Progress::Unknown);
+        } else {
+            tokio::spawn(async move { self.give_back().await });
+        }
+    }
+
+    /// Gives the key of an undispatched request back, or notes that it never runs where another
+    /// submission may be under way. Tells whether the platform has confirmed it.
+    async fn give_back(self) -> bool {
+        let action = if self.submission.first {
+            Action::Release
+        } else {
+            Action::Refuse
+        };
+        self.submit(action).await == Outcome::Done
     }
 
     async fn submit(&self, action: Action) -> Outcome {
         let operation = Operation {
-            key: self.key,
+            key: self.submission.key,
             attempt: self.attempt,
-            holder: self.node.membership.own().incarnation,
+            holder: self.node.membership.own().holder(),
             action,
         };
         self.node.claim(operation).await
@@ -75,17 +121,60 @@
 /// What a caller is told whose key another attempt has.
 fn taken(node: &Node, entry: &Entry) -> Fault {
     match entry.progress {
-        Progress::Complete => Fault::new(
-            Kind::KeyComplete,
-            "the request with this key was answered completely",
-        ),
+        Progress::Complete => {
+            let message = "the request with this key was answered completely";
+            Fault::new(Kind::KeyComplete, message)
+        }
+        Progress::NotRun => {
+            let message = "the request with this key was refused; a new try needs a new key";
+            Fault::new(Kind::KeyNotRun, message)
+        }
         Progress::Running if node.membership.runs(entry.holder) => {
             Fault::new(Kind::KeyRunning, "the request with this key is running")
                 .retry_after(Duration::from_secs(1))
         }
-        Progress::Running | Progress::Unknown => Fault::new(
-            Kind::OutcomeUnknown,
-            "nobody can tell whether the request with this key ran",
-        ),
+        Progress::Running | Progress::Unknown => {
+            let message = "nobody can tell whether the request with this key ran";
+            Fault::new(Kind::OutcomeUnknown, message)
+        }
     }
 }
+
+/// Ends a request that failed, and makes its fault say only what is certain. `reached` tells whether
+/// any byte may have reached a backend server.
+///
+/// "Not run" is said of a keyed request only when this is its first submission, or when the platform
+/// holds the note that the key never runs: an earlier submission may be waiting at another instance.
+pub async fn truthful(
+    node: &Arc<Node>,
+    submission: Option<Submission>,
+    claim: Option<Claim>,
+    reached: bool,
+    fault: Fault,
+) -> Fault {
+    let certain = match (claim, submission) {
+        (Some(claim), _) if claim.dispatched => {
+            claim.settle(Progress::Unknown);
+            false
+        }
+        (Some(claim), _) => claim.give_back().await,
+        (None, Some(submission)) if !submission.first && needs_note(&fault) => {
+            let claim = Claim::new(node, submission);
+            match claim.submit(Action::Refuse).await {
+                Outcome::Done => true,
+                outcome => return claim.lost(outcome),
+            }
+        }
+        (None, _) => true,
+    };
+    if certain && !reached {
+        fault
+    } else {
+        fault.unsure()
+    }
+}
+
+/// Whether the fault says that the request wasn't run, without having that from the platform.
+fn needs_note(fault: &Fault) -> bool {
+    fault.ran() == Ran::No && fault.kind != Kind::KeyNotRun
+}
--- a/crates/router/src/claims.rs
+++ b/crates/router/src/claims.rs
@@ -6,6 +6,7 @@
 //! more, so what was compacted away can't be claimed a second time, whatever any clock says.
 
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -26,6 +27,10 @@
 const SPACING: Duration = Duration::from_millis(200);
 /// Bound on one operation.
 const TIMEOUT: Duration = Duration::from_secs(3);
+/// Failed calls in a row from which the platform counts as out.
+const OUT_AFTER: u32 = 2;
+/// Time between two looks at a platform that is out.
+const PROBE: Duration = Duration::from_millis(250);
 /// Wait after a failed call.
 const RETRY: Duration = Duration::from_millis(50);
 /// Disagreement of clocks that is allowed for, in ms.
@@ -47,6 +52,8 @@
     Complete,
     /// Nobody can tell.
     Unknown,
+    /// It was refused, and never runs.
+    NotRun,
 }
 
 /// What a shard holds of one key.
@@ -55,7 +62,7 @@
     /// The attempt that won the key.
     #[serde(rename = "a")]
     pub attempt: Attempt,
-    /// The instance that made the attempt, as its incarnation.
+    /// The instance that made the attempt.
     #[serde(rename = "h")]
     pub holder: u64,
     /// How far it has come.
@@ -81,7 +88,7 @@
     pub key: Uuid,
     /// Whose operation it is.
     pub attempt: Attempt,
-    /// The instance, as its incarnation.
+    /// The instance that makes the attempt.
     pub holder: u64,
     /// What is to be done.
     pub action: Action,
@@ -96,6 +103,8 @@
     Settle(Progress),
     /// Give the key back, as the request surely wasn't dispatched.
     Release,
+    /// Note that the request never runs, unless another attempt has the key.
+    Refuse,
 }
 
 /// The outcome of an operation.
@@ -117,9 +126,18 @@
         let Operation { key, attempt, .. } = *operation;
         let entry = self.entries.get(&key).copied();
         match (operation.action, entry) {
-            (Action::Claim, Some(entry)) if entry.attempt == attempt => (Outcome::Done, false),
-            (Action::Claim, Some(entry)) => (Outcome::Taken(entry), false),
-            (Action::Claim, None) => self.claim(operation, now_ms),
+            (Action::Claim, Some(entry)) if entry.attempt == attempt => match entry.progress {
+                Progress::Running => (Outcome::Done, false),
+                _ => (Outcome::Taken(entry), false),
+            },
+            (Action::Refuse, Some(entry)) if entry.attempt == attempt => {
+                let progress = Progress::NotRun;
+                self.entries.insert(key, Entry { progress, ..entry });
+                (Outcome::Done, true)
+            }
+            (Action::Claim | Action::Refuse, Some(entry)) => (Outcome::Taken(entry), false),
+            (Action::Claim, None) => self.insert(operation, Progress::Running, now_ms),
+            (Action::Refuse, None) => self.insert(operation, Progress::NotRun, now_ms),
             (Action::Settle(progress), Some(entry)) if entry.attempt == attempt => {
                 self.entries.insert(key, Entry { progress, ..entry });
                 (Outcome::Done, true)
@@ -134,7 +152,12 @@
         }
     }
 
-    fn claim(&mut self, operation: &Operation, now_ms: u64) -> (Outcome, bool) {
+    fn insert(
+        &mut self,
+        operation: &Operation,
+        progress: Progress,
+        now_ms: u64,
+    ) -> (Outcome, bool) {
         let at = key_ms(&operation.key);
         if at.is_none_or(|at| at < self.floor_ms || at > now_ms + SKEW_MS) {
             return (Outcome::OutsideWindow, false);
@@ -142,7 +165,7 @@
         let entry = Entry {
             attempt: operation.attempt,
             holder: operation.holder,
-            progress: Progress::Running,
+            progress,
         };
         self.entries.insert(operation.key, entry);
         (Outcome::Done, true)
@@ -201,6 +224,7 @@
     metrics: Arc<Metrics>,
     window_ms: u64,
     slots: Vec<Mutex<Slot>>,
+    failures: AtomicU32,
 }
 
 impl<P: Platform> Claims<P> {
@@ -212,11 +236,16 @@
             metrics,
             window_ms,
             slots,
+            failures: AtomicU32::new(0),
         })
     }
 
-    /// Does one operation in the platform, together with others of its shard.
+    /// Does one operation in the platform, together with others of its shard. While the platform is
+    /// out, a claim isn't tried, so that its request can be refused at once.
     pub async fn submit(self: &Arc<Self>, operation: Operation) -> Outcome {
+        if self.out() && matches!(operation.action, Action::Claim | Action::Refuse) {
+            return Outcome::Unconfirmed;
+        }
         let shard = shard_of(&operation.key);
         let (reply, outcome) = oneshot::channel();
         let start = {
@@ -230,6 +259,34 @@
         outcome.await.unwrap_or(Outcome::Unconfirmed)
     }
 
+    /// Whether the platform doesn't reply.
+    #[must_use]
+    pub fn out(&self) -> bool {
+        self.failures.load(Ordering::Relaxed) >= OUT_AFTER
+    }
+
+    fn replied(&self) {
+        self.failures.store(0, Ordering::Relaxed);
+    }
+
+    /// Counts a call without a reply; the call that makes the platform count as out starts the probe.
+    fn no_reply(self: &Arc<Self>) {
+        self.metrics.count("claims.no_reply");
+        if self.failures.fetch_add(1, Ordering::Relaxed) + 1 == OUT_AFTER {
+            log::warn!("platform=out claims=refused");
+            tokio::spawn(Arc::clone(self).probe());
+        }
+    }
+
+    /// Reads a shard again and again until the platform replies.
+    async fn probe(self: Arc<Self>) {
+        while self.read(0).await.is_err() {
+            tokio::time::sleep(PROBE).await;
+        }
+        self.replied();
+        log::info!("platform=back claims=taken");
+    }
+
     /// Writes one shard until nothing is pending.
     async fn tend(self: Arc<Self>, shard: usize) {
         loop {
@@ -248,18 +305,21 @@
         }
     }
 
-    async fn commit(&self, shard: usize, pending: Vec<Pending>) {
+    async fn commit(self: &Arc<Self>, shard: usize, pending: Vec<Pending>) {
         let deadline = Instant::now() + TIMEOUT;
         let operations: Vec<Operation> = pending.iter().map(|(o, _)| *o).collect();
         let outcomes = loop {
             match self.commit_once(shard, &operations).await {
-                Ok(outcomes) => break outcomes,
+                Ok(outcomes) => {
+                    self.replied();
+                    break outcomes;
+                }
                 Err(Error::Conflict) => self.metrics.count("claims.conflict"),
                 Err(Error::Throttled) => self.metrics.count("claims.throttled"),
-                Err(Error::Unavailable(_)) => self.metrics.count("claims.no_reply"),
+                Err(Error::Unavailable(_)) => self.no_reply(),
             }
             self.slot(shard).cached = None;
-            if Instant::now() >= deadline {
+            if Instant::now() >= deadline || self.out() {
                 break vec![Outcome::Unconfirmed; operations.len()];
             }
             tokio::time::sleep(RETRY).await;
--- a/crates/router/src/error.rs
+++ b/crates/router/src/error.rs
@@ -85,12 +85,17 @@
     TooManyConnections => ("too_many_connections", 503, "overloaded_error", No);
     /// A class that must not run twice needs an idempotency key.
     KeyRequired => ("idempotency_key_required", 400, "invalid_request_error", No);
-    /// The idempotency key is older than the window in which it can be claimed, or lies in the future.
+    /// The idempotency key of a first submission is older than the window in which it can be claimed,
+    /// or lies in the future.
+    KeyStale => ("idempotency_key_stale", 409, "invalid_request_error", No);
+    /// The same for a submission that may not be the first.
     KeyOutsideWindow => ("idempotency_key_outside_window", 409, "invalid_request_error", Unknown);
     /// The idempotency key's request is running.
     KeyRunning => ("idempotency_key_running", 409, "conflict_error", Unknown);
     /// The idempotency key's request was answered completely.
     KeyComplete => ("idempotency_key_complete", 409, "conflict_error", Yes);
+    /// The idempotency key's request was refused for good, and never runs.
+    KeyNotRun => ("idempotency_key_not_run", 409, "conflict_error", No);
     /// The pool has more work than it can do; this request gave way.
     Overloaded => ("overloaded", 429, "overloaded_error", No);
     /// The caller's deadline can't be met any more.
@@ -128,6 +133,8 @@
     pub message: String,
     /// When it's worth trying again, if it is.
     pub retry_after: Option<Duration>,
+    /// Whether it can't be ruled out that the request ran, though the kind says that it didn't.
+    pub unsure: bool,
 }
 
 impl fmt::Display for Fault {
@@ -144,6 +151,23 @@
             kind,
             message: message.into(),
             retry_after: None,
+            unsure: false,
+        }
+    }
+
+    /// The same error of a request that may have run in an earlier try or submission.
+    #[must_use]
+    pub const fn unsure(mut self) -> Self {
+        self.unsure = true;
+        self
+    }
+
+    /// Whether the request ran.
+    #[must_use]
+    pub const fn ran(&self) -> Ran {
+        match self.kind.answer().ran {
+            Ran::No if self.unsure => Ran::Unknown,
+            ran => ran,
         }
     }
 
@@ -164,7 +188,7 @@
                 "type": answer.shape,
                 "code": answer.name,
                 "kind": answer.name,
-                "ran": answer.ran.as_str(),
+                "ran": self.ran().as_str(),
                 "retry_after_ms": self.retry_after.map(|d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX)),
             }
         })
--- a/crates/router/src/membership.rs
+++ b/crates/router/src/membership.rs
@@ -15,6 +15,7 @@
 use tokio::time::Instant;
 
 use crate::object::Number;
+use crate::placement;
 
 /// An instance's name.
 pub type InstanceId = SmolStr;
@@ -75,6 +76,13 @@
 }
 
 impl Facts {
+    /// The number under which this start of the instance holds claims; no other start of any instance
+    /// has the same.
+    #[must_use]
+    pub fn holder(&self) -> u64 {
+        placement::rendezvous(self.incarnation, &self.id)
+    }
+
     /// Whether these facts replace `known`.
     #[must_use]
     pub fn supersedes(&self, known: &Self) -> bool {
@@ -153,10 +161,10 @@
         all
     }
 
-    /// Whether an incarnation runs.
+    /// Whether the instance that holds a claim still runs.
     #[must_use]
-    pub fn runs(&self, incarnation: u64) -> bool {
-        self.running().iter().any(|f| f.incarnation == incarnation)
+    pub fn runs(&self, holder: u64) -> bool {
+        self.running().iter().any(|f| f.holder() == holder)
     }
 
     /// Changes the instance's own facts and passes them on.
@@ -234,7 +242,7 @@
                 f.id, f.incarnation, f.version, f.life
             );
         }
-        crate::placement::hash(text.as_bytes())
+        placement::hash(text.as_bytes())
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -11,9 +11,9 @@
 use tokio::time::Instant;
 
 use crate::backend::{self, Call, Error};
-use crate::claim::Claim;
+use crate::claim::{self, Claim};
 use crate::claims::Progress;
-use crate::error::{Fault, Kind, Ran};
+use crate::error::{Fault, Kind};
 use crate::inference::{Chunk, Inference};
 use crate::output::Output;
 use crate::pool::{Order, Permit, ServerId};
@@ -160,8 +160,8 @@
     }
 
     async fn win(&mut self) -> Result<(), Fault> {
-        if let (Some(key), None, false) = (self.work.key, &self.claim, self.reached) {
-            self.claim = Some(Claim::win(&self.work.node, key).await?);
+        if let (Some(submission), None, false) = (self.work.submission, &self.claim, self.reached) {
+            self.claim = Some(Claim::win(&self.work.node, submission).await?);
         }
         Ok(())
     }
@@ -523,11 +523,15 @@
         match result {
             Ok(Step::CallerGone) => {
                 self.work.node.metrics.count("caller.gone");
-                Self::give_back(claim, Progress::Unknown).await;
+                if let Some(claim) = claim {
+                    claim.abandon();
+                }
             }
             Ok(_) => {
                 self.work.node.metrics.count("answer.complete");
-                Self::give_back(claim, Progress::Complete).await;
+                if let Some(claim) = claim {
+                    claim.settle(Progress::Complete);
+                }
                 let Self {
                     inference,
                     id,
@@ -541,35 +545,13 @@
                     .await;
             }
             Err(fault) => {
-                let fault = self.truthful(fault, claim).await;
+                let (node, submission) = (&self.work.node, self.work.submission);
+                let fault = claim::truthful(node, submission, claim, self.reached, fault).await;
                 self.work.node.metrics.count(fault.kind.answer().name);
                 self.out.fail(fault).await;
             }
         }
     }
-
-    /// Notes on the claim how the request went; one that wasn't dispatched gives its key back.
-    async fn give_back(claim: Option<Claim>, progress: Progress) -> bool {
-        match claim {
-            Some(claim) if claim.dispatched => {
-                claim.settle(progress);
-                true
-            }
-            Some(claim) => claim.release().await,
-            None => true,
-        }
-    }
-
-    /// The fault, unless it says that the request wasn't run and that isn't certain.
-    async fn truthful(&self, fault: Fault, claim: Option<Claim>) -> Fault {
-        let dispatched = claim.as_ref().is_some_and(|c| c.dispatched);
-        let released = Self::give_back(claim, Progress::Unknown).await;
-        let certain = !self.reached && !dispatched && released;
-        match fault.kind.answer().ran {
-            Ran::No if !certain => Fault::new(Kind::OutcomeUnknown, fault.message),
-            _ => fault,
-        }
-    }
 }
 
 /// Measures the gap between tokens.
--- a/crates/router/src/service.rs
+++ b/crates/router/src/service.rs
@@ -9,9 +9,9 @@
 use tokio::sync::oneshot;
 
 use crate::backend::{self, Call, Error};
-use crate::claim::Claim;
+use crate::claim::{self, Claim};
 use crate::claims::Progress;
-use crate::error::{Fault, Kind, Ran};
+use crate::error::{Fault, Kind};
 use crate::output::{self, Body};
 use crate::pool::{Order, Permit};
 use crate::work::Work;
@@ -72,23 +72,19 @@
     async fn run(mut self) -> Result<Response<Body>, Fault> {
         let _in_flight = self.work.in_flight.take();
         let result = self.drive().await;
-        let progress = match &result {
-            Ok(_) => Progress::Complete,
-            Err(_) => Progress::Unknown,
-        };
-        let released = match self.claim.take() {
-            Some(claim) if claim.dispatched => {
-                claim.settle(progress);
-                true
+        let claim = self.claim.take();
+        let result = match result {
+            Ok(response) => {
+                if let Some(claim) = claim {
+                    claim.settle(Progress::Complete);
+                }
+                Ok(response)
+            }
+            Err(fault) => {
+                let (node, submission) = (&self.work.node, self.work.submission);
+                Err(claim::truthful(node, submission, claim, self.reached, fault).await)
             }
-            Some(claim) => claim.release().await,
-            None => true,
         };
-        let certain = !self.reached && released;
-        let result = result.map_err(|fault| match fault.kind.answer().ran {
-            Ran::No if !certain => Fault::new(Kind::OutcomeUnknown, fault.message),
-            _ => fault,
-        });
         let metrics = &self.work.node.metrics;
         metrics.count(
             result
@@ -104,8 +100,8 @@
             ticket.label.begun = self.reached;
             let deadline = self.work.deadline.filter(|_| !self.reached);
             let permit = self.work.enter(ticket, deadline).await?;
-            if let (Some(key), None) = (self.work.key, &self.claim) {
-                self.claim = Some(Claim::win(&self.work.node, key).await?);
+            if let (Some(submission), None) = (self.work.submission, &self.claim) {
+                self.claim = Some(Claim::win(&self.work.node, submission).await?);
             }
             if let Some(response) = self.try_once(&permit).await? {
                 return Ok(response);
--- a/crates/router/src/work.rs
+++ b/crates/router/src/work.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use tokio::time::Instant;
-use uuid::Uuid;
 
+use crate::claim::Submission;
 use crate::error::{Fault, Kind};
 use crate::node::{InFlight, Node};
 use crate::object::Class;
@@ -22,7 +22,7 @@
     /// What the pool needs to know.
     pub ticket: Ticket,
     /// The idempotency key, where the class needs one.
-    pub key: Option<Uuid>,
+    pub submission: Option<Submission>,
     /// The time by which the caller wants to be served, if it said so.
     pub deadline: Option<Instant>,
     /// Keeps a leaving instance running.
--- /dev/null
+++ b/crates/router/tests/frames.rs
@@ -0,0 +1,163 @@
+//! Frames between instances: what is sent arrives, and nothing else is taken.
+
+mod common;
+
+use jackdawtally::claims::{Action, Entry, Operation, Outcome, Progress};
+use jackdawtally::frame::{self, Floor, Frame, Hello, Refusal, Seal, Side};
+use jackdawtally::object::{Change, Edit, Object};
+use uuid::Uuid;
+
+const KEY: &str = "0123456789abcdef";
+const NONCES: [[u8; 16]; 2] = [[1; 16], [2; 16]];
+
+fn seals() -> (Seal, Seal) {
+    let seal = Seal::new(KEY, Side::Dialer, &NONCES);
+    (seal.clone(), seal)
+}
+
+fn objects() -> Vec<Object> {
+    vec![
+        common::tier("x", 0),
+        Object::Class(common::class("c", "x")),
+        common::organisation("o", "c", &"ab".repeat(32)),
+        Object::BackendServer(common::engine("e", 4)),
+    ]
+}
+
+fn every_frame() -> Vec<Frame> {
+    let operation = Operation {
+        key: Uuid::now_v7(),
+        attempt: u64::MAX,
+        holder: 7,
+        action: Action::Settle(Progress::Complete),
+    };
+    let entry = Entry {
+        attempt: 1,
+        holder: 2,
+        progress: Progress::NotRun,
+    };
+    let change = Change {
+        number: 1,
+        id: "a".into(),
+        operator: "ana".into(),
+        at_ms: 5,
+        edits: objects()
+            .into_iter()
+            .map(Edit::Put)
+            .chain([Edit::Delete(common::tier("y", 1).key())])
+            .collect(),
+        before: vec![None, Some(common::tier("x", 3))],
+    };
+    vec![
+        Frame::Beat {
+            number: 3,
+            digest: u64::MAX,
+            floors: vec![Floor {
+                pool: "model/m".into(),
+                level: 2,
+                ttl_ms: 1_500,
+            }],
+        },
+        Frame::Facts(vec![common::facts("a", "north")]),
+        Frame::WantFacts,
+        Frame::WantChanges(9),
+        Frame::Changes(vec![change]),
+        Frame::Snapshot {
+            number: 4,
+            part: 0,
+            parts: 1,
+            objects: objects(),
+        },
+        Frame::Claim { call: 1, operation },
+        Frame::ClaimReply {
+            call: 1,
+            outcome: Outcome::Taken(entry),
+        },
+        Frame::ServerLeaving {
+            server: "e".into(),
+            at_ms: 8,
+        },
+    ]
+}
+
+#[test]
+fn every_frame_arrives_as_it_was_sent() {
+    let (mut seal, mut open) = seals();
+    for frame in every_frame() {
+        let sealed = seal.seal(&frame);
+
+        let opened = open.open(&sealed);
+
+        assert_eq!(opened, Ok(frame));
+    }
+}
+
+#[test]
+fn an_altered_frame_is_foreign() {
+    let (mut seal, open) = seals();
+    let sealed = seal.seal(&Frame::WantChanges(9));
+    for i in 0..sealed.len() {
+        let mut altered = sealed.to_vec();
+        altered[i] ^= 1;
+
+        let opened = open.clone().open(&altered);
+
+        assert_eq!(opened, Err(Refusal::Foreign), "byte {i}");
+    }
+}
+
+#[test]
+fn a_repeated_or_reordered_frame_is_refused() {
+    let (mut seal, mut open) = seals();
+    let first = seal.seal(&Frame::WantFacts);
+    let second = seal.seal(&Frame::WantFacts);
+
+    assert_eq!(open.clone().open(&second), Err(Refusal::Replayed));
+    assert_eq!(open.open(&first), Ok(Frame::WantFacts));
+    assert_eq!(open.open(&first), Err(Refusal::Replayed));
+}
+
+#[test]
+fn a_frame_of_another_fleet_link_or_direction_is_foreign() {
+    let sealed = Seal::new(KEY, Side::Dialer, &NONCES).seal(&Frame::WantFacts);
+    let others = [
+        Seal::new("another fleet's key", Side::Dialer, &NONCES),
+        Seal::new(KEY, Side::Listener, &NONCES),
+        Seal::new(KEY, Side::Dialer, &[[3; 16], [2; 16]]),
+    ];
+
+    for mut other in others {
+        assert_eq!(other.open(&sealed), Err(Refusal::Foreign));
+    }
+}
+
+#[test]
+fn an_oversized_frame_is_refused_unread() {
+    let (_, mut open) = seals();
+
+    let opened = open.open(&vec![0; frame::FRAME_BYTES + 1]);
+
+    assert_eq!(opened, Err(Refusal::Oversized));
+}
+
+#[test]
+fn a_proof_without_the_fleet_s_key_is_foreign() {
+    let facts = common::facts("a", "north");
+    let hello = |key: &str| Hello {
+        protocol: 1,
+        protocol_min: 1,
+        nonce: NONCES[1],
+        facts: facts.clone(),
+        proof: frame::proof(key, Side::Dialer, &NONCES, &facts),
+    };
+
+    let own = frame::check_proof(KEY, Side::Dialer, &NONCES, &hello(KEY));
+    let foreign = frame::check_proof(KEY, Side::Dialer, &NONCES, &hello("another fleet's key"));
+    let mut altered = hello(KEY);
+    altered.facts.incarnation += 1;
+    let altered = frame::check_proof(KEY, Side::Dialer, &NONCES, &altered);
+
+    assert_eq!(own, Ok(()));
+    assert_eq!(foreign, Err(Refusal::Foreign));
+    assert_eq!(altered, Err(Refusal::Foreign));
+}
--- a/crates/standins/src/bench.rs
+++ b/crates/standins/src/bench.rs
@@ -270,6 +270,7 @@
 }
 
 fn unfinished(request: Planned, began: Instant, now: Instant) -> Answer {
+    let request_at = request.at;
     Answer {
         sent: began + request.at,
         request,
@@ -281,6 +282,7 @@
         crossed: false,
         broken: false,
         cuts: Vec::new(),
+        waits: vec![(began + request_at, now)],
     }
 }
 
--- a/crates/standins/src/caller.rs
+++ b/crates/standins/src/caller.rs
@@ -23,6 +23,8 @@
 
 /// Time after which a caller gives up for good.
 const PATIENCE: Duration = Duration::from_mins(1);
+/// Submissions of one request whose outcome is unknown.
+const TRIES: u32 = 12;
 /// Wait before another address is tried.
 const PAUSE: Duration = Duration::from_millis(50);
 /// Silence from which a caller takes its connection for broken.
@@ -110,6 +112,8 @@
     pub broken: bool,
     /// Instances at which the connection broke, and when.
     pub cuts: Vec<(SmolStr, Instant)>,
+    /// The times in which a submission was open at an instance.
+    pub waits: Vec<(Instant, Instant)>,
 }
 
 /// Callers of one run.
@@ -136,6 +140,7 @@
     text: String,
     last_event: Option<String>,
     avoid: Vec<SocketAddr>,
+    tries: u32,
 }
 
 impl Callers {
@@ -196,13 +201,18 @@
                 crossed: false,
                 broken: false,
                 cuts: Vec::new(),
+                waits: Vec::new(),
             },
             text: String::new(),
             last_event: None,
             avoid: Vec::new(),
+            tries: 0,
         };
         while now.elapsed() < PATIENCE {
-            match running.try_once().await {
+            let from = Instant::now();
+            let outcome = running.try_once().await;
+            running.answer.waits.push((from, Instant::now()));
+            match outcome {
                 Try::End(end) => {
                     running.answer.end = end;
                     break;
@@ -221,6 +231,7 @@
         let Some(entry) = self.callers.entries.pick(&self.avoid) else {
             return Try::Again;
         };
+        self.tries += 1;
         let Some(request) = self.request(entry.address) else {
             return Try::End(End::Lost);
         };
@@ -256,6 +267,9 @@
         if let Some(key) = self.key {
             request = request.header("idempotency-key", key.to_string());
         }
+        if self.key.is_some() && self.tries == 1 {
+            request = request.header("x-submission", "first");
+        }
         if let Some(id) = &self.last_event {
             request = request.header("last-event-id", id);
         }
@@ -265,6 +279,12 @@
 
     fn broke(&mut self, entry: &Entry) -> Try {
         self.avoid.push(entry.address);
+        log::debug!(
+            "request={} try={} instance={} connection=broken",
+            self.answer.request.tag,
+            self.tries,
+            entry.instance
+        );
         self.answer
             .cuts
             .push((entry.instance.clone(), Instant::now()));
@@ -282,12 +302,25 @@
     fn judge(&mut self, entry: &Entry, error: &Value) -> Try {
         let word = |name: &str| error[name].as_str().unwrap_or_default().to_owned();
         let (kind, ran) = (word("kind"), word("ran"));
+        log::debug!(
+            "request={} try={} instance={} kind={kind} ran={ran}",
+            self.answer.request.tag,
+            self.tries,
+            entry.instance
+        );
         match kind.as_str() {
             "draining" => {
                 self.avoid.push(entry.address);
                 Try::Again
             }
             "idempotency_key_running" => Try::Later(Duration::from_millis(500)),
+            // Nobody can tell yet; the same key may be asked for again until somebody can.
+            "platform_unavailable" | "overloaded" | "no_backend_server"
+                if ran == "unknown" && self.key.is_some() && self.tries < TRIES =>
+            {
+                let wait = error["retry_after_ms"].as_u64().unwrap_or(500);
+                Try::Later(Duration::from_millis(wait))
+            }
             "idempotency_key_complete" => Try::End(End::Told),
             _ => Try::End(End::Refused { kind, ran }),
         }
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -503,6 +503,7 @@
                 at: now,
                 server: self.options.name.clone(),
                 tag: sequence.tag,
+                crossed: sequence.crossed.is_some(),
             });
             return false;
         }
--- a/crates/standins/src/ledger.rs
+++ b/crates/standins/src/ledger.rs
@@ -33,6 +33,8 @@
     pub server: SmolStr,
     /// Whose request.
     pub tag: Tag,
+    /// Whether the server itself had given it another request's answer.
+    pub crossed: bool,
 }
 
 /// All that was recorded.
--- a/crates/standins/src/verdict.rs
+++ b/crates/standins/src/verdict.rs
@@ -245,28 +245,34 @@
         guarded
     }
 
+    /// Requests whose slot went to less important work, or that such work overtook at the same server
+    /// until they went on.
     fn preempted_for_lower(&self) -> Vec<String> {
         let answers: HashMap<Tag, &Answer> =
             self.answers.iter().map(|a| (a.request.tag, a)).collect();
         let guarded = self.guard_starts();
         let mut found = Vec::new();
-        for pause in &self.records.pauses {
+        for pause in self.records.pauses.iter().filter(|p| !p.crossed) {
             let Some(paused) = answers.get(&pause.tag) else {
                 continue;
             };
-            let in_place = self.records.starts.iter().filter(|s| {
-                s.server == pause.server && s.at >= pause.at && s.at <= pause.at + IN_PLACE
-            });
-            for start in in_place.filter(|s| s.tag != pause.tag && !guarded.contains(&s.tag)) {
-                let Some(other) = answers.get(&start.tag) else {
-                    continue;
-                };
-                let broken = paused
-                    .cuts
-                    .iter()
-                    .any(|(_, at)| *at + BESIDE * 4 >= pause.at);
-                if other.request.level > paused.request.level && !broken {
-                    found.push(self.inversion(paused, other, "took its slot"));
+            if paused
+                .cuts
+                .iter()
+                .any(|(_, at)| *at + BESIDE * 4 >= pause.at)
+            {
+                continue;
+            }
+            let later = self.records.starts.iter().filter(|s| s.at >= pause.at);
+            let again = later.clone().find(|s| s.tag == pause.tag).map(|s| s.at);
+            let until = again.unwrap_or(paused.ended).min(paused.ended);
+            let here = later.filter(|s| s.server == pause.server && s.tag != pause.tag);
+            let first = here.clone().take(1).filter(|s| s.at <= pause.at + IN_PLACE);
+            let after = here.filter(|s| s.at > pause.at + BESIDE && s.at < until);
+            for start in first.chain(after).filter(|s| !guarded.contains(&s.tag)) {
+                let other = answers.get(&start.tag);
+                if let Some(other) = other.filter(|o| o.request.level > paused.request.level) {
+                    found.push(self.inversion(paused, other, "went before it"));
                 }
             }
         }
@@ -298,19 +304,14 @@
         for answer in self.answers {
             let class = self.deployment.class(&answer.request.class);
             let own = starts.get(&answer.request.tag).and_then(|s| s.first());
-            let until = own.map_or(answer.ended, |s| s.at);
+            let started = own.map_or(answer.ended, |s| s.at);
             let key = (&answer.request.class, answer.request.target.pool());
             let times = progress.get(&key).map(Vec::as_slice).unwrap_or_default();
-            let within = times
+            let waits = answer
+                .waits
                 .iter()
-                .copied()
-                .filter(|t| *t > answer.sent && *t < until);
-            let ends = within.clone().chain([until]);
-            let begins = std::iter::once(answer.sent).chain(within);
-            let longest = begins
-                .zip(ends)
-                .map(|(a, b)| b.saturating_duration_since(a))
-                .max();
+                .map(|(from, to)| (*from, (*to).min(started)));
+            let longest = waits.map(|(from, to)| longest_gap(times, from, to)).max();
             if longest.is_some_and(|gap| gap > class.starvation()) {
                 found.push(format!(
                     "class {} at {}: request {} waited {:.1}s without progress of its class",
@@ -324,3 +325,14 @@
         found
     }
 }
+
+/// The longest time between two instants in which none of `times` lies.
+fn longest_gap(times: &[Instant], from: Instant, to: Instant) -> Duration {
+    let within = times.iter().copied().filter(|t| *t > from && *t < to);
+    let ends = within.clone().chain([to]);
+    let begins = std::iter::once(from).chain(within);
+    let gaps = begins
+        .zip(ends)
+        .map(|(a, b)| b.saturating_duration_since(a));
+    gaps.max().unwrap_or_default()
+}
--- a/crates/standins/src/world.rs
+++ b/crates/standins/src/world.rs
@@ -49,6 +49,7 @@
     places: Vec<Place>,
     running: Mutex<HashMap<SmolStr, Arc<Instance>>>,
     drained: Mutex<Vec<(SmolStr, Instant)>>,
+    leaving: Mutex<Vec<Arc<Instance>>>,
 }
 
 /// A place for an instance, which is kept when the instance is replaced.
@@ -99,6 +100,7 @@
             places,
             running: Mutex::default(),
             drained: Mutex::default(),
+            leaving: Mutex::default(),
         });
         world.start_instances().await?;
         Ok(world)
@@ -225,6 +227,8 @@
                 .push((instance.id.clone(), Instant::now()));
             instance.drain();
             self.running().remove(&instance.id);
+            let mut leaving = self.leaving.lock().unwrap_or_else(PoisonError::into_inner);
+            leaving.push(instance);
             self.tell_platform();
         }
     }
