Hold back less important work while more important work waits anywhere

An instance has one unstarted request at each engine, so between its start and the word of it the engine's queue holds nothing of a tier that still waits elsewhere. Ruled out: the engines' order (it was right among what they had) and the resumption's place in the queue.

Change: an instance whose request has waited 40 ms tells its peers the tier; they start nothing less important until that has passed for 300 ms, but for the starvation guard. It travels as a floor beside the one that evicts.

Also: a pause of the instance itself is no longer taken for slow engines, and a claim gives up after 2 s.

--- a/crates/router/src/claims.rs
+++ b/crates/router/src/claims.rs
@@ -26,7 +26,7 @@
 /// Time between two writes of one shard.
 const SPACING: Duration = Duration::from_millis(200);
 /// Bound on one operation.
-const TIMEOUT: Duration = Duration::from_secs(3);
+const TIMEOUT: Duration = Duration::from_secs(2);
 /// Failed calls in a row from which the platform counts as out.
 const OUT_AFTER: u32 = 2;
 /// Time between two looks at a platform that is out.
@@ -256,7 +256,10 @@
         if start {
             tokio::spawn(Arc::clone(self).tend(shard));
         }
-        outcome.await.unwrap_or(Outcome::Unconfirmed)
+        match tokio::time::timeout(TIMEOUT, outcome).await {
+            Ok(Ok(outcome)) => outcome,
+            _ => Outcome::Unconfirmed,
+        }
     }
 
     /// Whether the platform doesn't reply.
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -10,7 +10,7 @@
 use tokio::time::Instant;
 
 use crate::claims::{self, Operation, Outcome};
-use crate::frame::{Floor, Frame};
+use crate::frame::{Floor, FloorKind, Frame};
 use crate::membership::{Facts, InstanceId, Life, Membership};
 use crate::node;
 use crate::object::Level;
@@ -21,8 +21,10 @@
 /// Links that an instance of a larger fleet opens to others of its data centre, beside its two
 /// neighbours on the ring.
 const EXTRA_LINKS: usize = 2;
-/// Time that a floor holds without being heard again.
-const FLOOR_TTL: Duration = Duration::from_millis(1_500);
+/// Time that a floor holds back starts without being heard again.
+const HOLD_TTL: Duration = Duration::from_millis(800);
+/// Time that a floor evicts without being heard again.
+const EVICT_TTL: Duration = Duration::from_millis(1_500);
 /// Frames that may wait for a slow peer; then its link is closed.
 const BACKLOG: usize = 4_096;
 /// Bound on an operation at the instance that tends its shard.
@@ -39,7 +41,7 @@
 #[derive(Default)]
 struct State {
     links: HashMap<InstanceId, Link>,
-    floors: HashMap<SmolStr, (Level, Instant)>,
+    floors: HashMap<FloorKind, HashMap<SmolStr, (Level, Instant)>>,
     calls: HashMap<u64, oneshot::Sender<Outcome>>,
     serial: u64,
 }
@@ -131,12 +133,13 @@
         }
     }
 
-    /// The floor that other instances ask for in a pool.
+    /// The floor of a kind that other instances ask for in a pool; `Level::MAX` for none.
     #[must_use]
-    pub fn floor(&self, pool: &str) -> Level {
+    pub fn floor(&self, pool: &str, kind: FloorKind) -> Level {
         let now = Instant::now();
         let state = self.lock();
-        let floor = state.floors.get(pool).filter(|(_, until)| *until > now);
+        let heard = state.floors.get(&kind).and_then(|floors| floors.get(pool));
+        let floor = heard.filter(|(_, until)| *until > now);
         floor.map_or(Level::MAX, |(level, _)| *level)
     }
 
@@ -145,22 +148,15 @@
         let now = Instant::now();
         let mut state = self.lock();
         for floor in floors {
-            let ttl = Duration::from_millis(floor.ttl_ms.into()).min(FLOOR_TTL);
+            let ttl = Duration::from_millis(floor.ttl_ms.into()).min(ttl(floor.kind));
             let until = now + ttl;
-            let known = state
-                .floors
-                .get(&floor.pool)
-                .filter(|(_, until)| *until > now);
-            let replaces = match known {
-                None => true,
-                Some((level, old)) => {
-                    floor.level < *level || (floor.level == *level && until > *old)
-                }
-            };
+            let known = state.floors.entry(floor.kind).or_default();
+            let current = known.get(&floor.pool).filter(|(_, until)| *until > now);
+            let replaces = current.is_none_or(|(level, old)| {
+                floor.level < *level || (floor.level == *level && until > *old)
+            });
             if replaces {
-                state
-                    .floors
-                    .insert(floor.pool.clone(), (floor.level, until));
+                known.insert(floor.pool.clone(), (floor.level, until));
             }
         }
     }
@@ -168,26 +164,28 @@
     /// The floors to pass on: those that this instance asks for, and those heard, for the rest of
     /// their time.
     #[must_use]
-    pub fn floors(&self, wanted: Vec<(SmolStr, Level)>) -> Vec<Floor> {
+    pub fn floors(&self, wanted: Vec<(SmolStr, FloorKind, Level)>) -> Vec<Floor> {
         let now = Instant::now();
-        let mut floors: BTreeMap<SmolStr, Floor> = BTreeMap::new();
-        for (pool, (level, until)) in &self.lock().floors {
-            if *until > now {
+        let mut floors: BTreeMap<(SmolStr, FloorKind), Floor> = BTreeMap::new();
+        for (kind, heard) in &self.lock().floors {
+            for (pool, (level, until)) in heard.iter().filter(|(_, (_, until))| *until > now) {
                 let floor = Floor {
                     pool: pool.clone(),
+                    kind: *kind,
                     level: *level,
                     ttl_ms: millis(*until - now),
                 };
-                floors.insert(pool.clone(), floor);
+                floors.insert((pool.clone(), *kind), floor);
             }
         }
-        for (pool, level) in wanted {
+        for (pool, kind, level) in wanted {
             let own = Floor {
                 pool: pool.clone(),
+                kind,
                 level,
-                ttl_ms: millis(FLOOR_TTL),
+                ttl_ms: millis(ttl(kind)),
             };
-            let entry = floors.entry(pool).or_insert_with(|| own.clone());
+            let entry = floors.entry((pool, kind)).or_insert_with(|| own.clone());
             if own.level <= entry.level {
                 *entry = own;
             }
@@ -229,6 +227,13 @@
     }
 }
 
+const fn ttl(kind: FloorKind) -> Duration {
+    match kind {
+        FloorKind::Hold => HOLD_TTL,
+        FloorKind::Evict => EVICT_TTL,
+    }
+}
+
 fn millis(duration: Duration) -> u32 {
     u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
 }
--- a/crates/router/src/frame.rs
+++ b/crates/router/src/frame.rs
@@ -24,13 +24,27 @@
 /// Bytes of the code.
 const CODE_BYTES: usize = 16;
 
+/// What a floor asks of less important work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum FloorKind {
+    /// Not to be started, as more important work waits somewhere.
+    #[serde(rename = "h")]
+    Hold,
+    /// To be refused, as more important work is about to be.
+    #[serde(rename = "e")]
+    Evict,
+}
+
 /// A floor that some instance asks for.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Floor {
     /// The pool's name.
     #[serde(rename = "p")]
     pub pool: SmolStr,
-    /// The least important tier that may wait.
+    /// What it asks.
+    #[serde(rename = "k")]
+    pub kind: FloorKind,
+    /// The least important tier that isn't concerned.
     #[serde(rename = "l")]
     pub level: Level,
     /// How long the floor holds without being heard again, in ms.
--- a/crates/router/src/link.rs
+++ b/crates/router/src/link.rs
@@ -284,22 +284,13 @@
                     if self.heard.elapsed() > IDLE {
                         return Err(None);
                     }
-                    let frame = self.beat();
+                    let frame = self.node.beat();
                     self.send(&frame).await?;
                 }
             }
         }
     }
 
-    fn beat(&self) -> Frame {
-        let node = &self.node;
-        Frame::Beat {
-            number: node.changelog.catalogue().number(),
-            digest: node.membership.digest(),
-            floors: node.fleet.floors(node.pools.wanted_floors()),
-        }
-    }
-
     async fn send(&mut self, frame: &Frame) -> Result<(), Option<Refusal>> {
         let bytes = self.seal.seal(frame);
         self.node.metrics.add("peers.bytes", bytes.len() as u64);
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -12,6 +12,7 @@
 use crate::claims::{Claims, Operation, Outcome};
 use crate::departures::Departures;
 use crate::fleet::Fleet;
+use crate::frame::Frame;
 use crate::membership::{Facts, Life, Membership};
 use crate::metrics::Metrics;
 use crate::platform_http::HttpPlatform;
@@ -77,6 +78,16 @@
         })
     }
 
+    /// What this instance tells its peers at a steady pace.
+    #[must_use]
+    pub fn beat(&self) -> Frame {
+        Frame::Beat {
+            number: self.changelog.catalogue().number(),
+            digest: self.membership.digest(),
+            floors: self.fleet.floors(self.pools.wanted_floors()),
+        }
+    }
+
     /// Whether the instance refuses new work.
     #[must_use]
     pub fn leaving(&self) -> bool {
--- a/crates/router/src/pool.rs
+++ b/crates/router/src/pool.rs
@@ -16,6 +16,7 @@
 use tokio::time::Instant;
 
 use crate::error::{Fault, Kind};
+use crate::frame::FloorKind;
 use crate::metrics::Metrics;
 use crate::object::{BackendServer, Level};
 use crate::placement::{self, Choice, Wish};
@@ -34,6 +35,10 @@
 const GUARD_SHARE: f64 = 0.5;
 /// Share of the first-token target that a request is unstarted before it takes a running one's slot.
 const PREEMPT_SHARE: f64 = 0.1;
+/// Time between two ticks from which this instance is taken to have stood still.
+const PAUSE: Duration = Duration::from_millis(250);
+/// Time after a pause in which no server's speed is measured.
+const QUIET: Duration = Duration::from_millis(500);
 /// Retries that one success pays for.
 const RETRY_SHARE: f64 = 0.2;
 /// Retries saved up at most.
@@ -137,6 +142,8 @@
     classes: HashMap<SmolStr, ClassStat>,
     pressure: Pressure,
     retries: f64,
+    ticked: Instant,
+    quiet_until: Instant,
     rng: SmallRng,
 }
 
@@ -194,6 +201,8 @@
             classes: HashMap::new(),
             pressure: Pressure::default(),
             retries: RETRY_START,
+            ticked: Instant::now(),
+            quiet_until: Instant::now(),
             rng: SmallRng::seed_from_u64(seed),
         };
         Arc::new(Self {
@@ -356,15 +365,20 @@
         }
     }
 
-    /// The floor that this instance asks of all: the least important tier that may wait.
+    /// The floor of a kind that this instance asks of all; `Level::MAX` for none.
     #[must_use]
-    pub fn wanted_floor(&self) -> Level {
-        self.lock().pressure.wanted(Instant::now())
+    pub fn wanted_floor(&self, kind: FloorKind) -> Level {
+        let now = Instant::now();
+        let state = self.lock();
+        match kind {
+            FloorKind::Hold => state.pressure.wanted_hold(now),
+            FloorKind::Evict => state.pressure.wanted(now),
+        }
     }
 
-    /// Takes in the floor that other instances ask for.
-    pub fn set_floor(self: &Arc<Self>, floor: Level) {
-        self.lock().pressure.set_fleet(floor);
+    /// Takes in the floors that other instances ask for.
+    pub fn set_floors(&self, hold: Level, evict: Level) {
+        self.lock().pressure.set_fleet(hold, evict);
     }
 
     /// Ends what waited too long, preempts for what is late, and judges the servers' speed.
@@ -373,6 +387,7 @@
         let replies = {
             let mut state = self.lock();
             let mut replies = Vec::new();
+            state.notice_pause(now);
             state.feel_pressure(now, self.limits.queue_bytes);
             self.evict(&mut state, now, &mut replies);
             self.expire(&mut state, now, &mut replies);
@@ -570,7 +585,8 @@
 impl State {
     fn next(&mut self, unstarted: u32, now: Instant) -> Option<(EntryId, ServerId)> {
         let levels: Vec<Level> = self.queue.levels().collect();
-        for level in levels {
+        let hold = self.pressure.hold();
+        for level in levels.into_iter().filter(|level| *level <= hold) {
             let entry = self.queue.head(level)?;
             let ticket = self.queue.item(entry)?.ticket.clone();
             match self.choose(&ticket, level, false, unstarted, now) {
@@ -681,6 +697,13 @@
         let full = lowest.filter(|_| self.queue.bytes() * 2 > queue_bytes);
         self.pressure
             .update(late.into_iter().chain(full).min(), now);
+        let waiting = self.queue.fronts().filter(|id| {
+            let since = self.queue.get(*id).map_or(now, |(_, since)| since);
+            now.saturating_duration_since(since) >= Pressure::HOLD_AFTER
+        });
+        let levels = waiting.filter_map(|id| self.queue.get(id).map(|(label, _)| label.level));
+        let held = levels.min();
+        self.pressure.update_hold(held, now);
     }
 
     /// Makes room for unstarted requests that would miss their first-token target, by telling a less
@@ -715,6 +738,14 @@
         preempted
     }
 
+    /// Notices that this instance itself stood still, so that no server is blamed for it.
+    fn notice_pause(&mut self, now: Instant) {
+        if now.saturating_duration_since(self.ticked) > PAUSE {
+            self.quiet_until = now + QUIET;
+        }
+        self.ticked = now;
+    }
+
     fn judge(&mut self) {
         let mut gaps: Vec<f64> = self.servers.values().filter_map(Server::gap_ms).collect();
         if gaps.len() < 3 {
@@ -754,7 +785,13 @@
 
     /// Takes in the mean gap between tokens over a stretch of the answer, in ms.
     pub fn glimpsed(&self, gap_ms: f64) {
-        if let Some(server) = self.pool.lock().servers.get_mut(self.server) {
+        let now = Instant::now();
+        let mut state = self.pool.lock();
+        let standing = now.saturating_duration_since(state.ticked) > PAUSE;
+        if standing || now < state.quiet_until {
+            return;
+        }
+        if let Some(server) = state.servers.get_mut(self.server) {
             server.glimpsed(gap_ms);
         }
     }
--- a/crates/router/src/pools.rs
+++ b/crates/router/src/pools.rs
@@ -5,9 +5,11 @@
 use std::time::Duration;
 
 use smol_str::SmolStr;
+use tokio::time::Instant;
 
 use crate::catalogue::Catalogue;
 use crate::changelog;
+use crate::frame::FloorKind;
 use crate::node::Node;
 use crate::object::{BackendServer, Level};
 use crate::placement;
@@ -20,6 +22,8 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(250);
 /// Reports missed in a row from which a server counts as down.
 const MISSED: u32 = 2;
+/// Shortest time between two messages about changed floors.
+const TELL: Duration = Duration::from_millis(60);
 /// Time between two looks at what waits too long.
 const TICK: Duration = Duration::from_millis(20);
 
@@ -61,10 +65,18 @@
 
     /// The floors that this instance asks for, by pool.
     #[must_use]
-    pub fn wanted_floors(&self) -> Vec<(SmolStr, Level)> {
-        let all = self.all();
-        let floors = all.iter().map(|p| (p.name().clone(), p.wanted_floor()));
-        floors.filter(|(_, level)| *level != Level::MAX).collect()
+    pub fn wanted_floors(&self) -> Vec<(SmolStr, FloorKind, Level)> {
+        let mut floors = Vec::new();
+        for pool in self.all() {
+            for kind in [FloorKind::Hold, FloorKind::Evict] {
+                let level = pool.wanted_floor(kind);
+                if level != Level::MAX {
+                    floors.push((pool.name().clone(), kind, level));
+                }
+            }
+        }
+        floors.sort();
+        floors
     }
 
     /// Takes over the servers of a configuration.
@@ -126,12 +138,22 @@
 pub async fn tick(node: Arc<Node>) {
     let mut interval = tokio::time::interval(TICK);
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut told = Vec::new();
+    let mut told_at = Instant::now();
     loop {
         interval.tick().await;
         for pool in node.pools.all() {
-            pool.set_floor(node.fleet.floor(pool.name()));
+            let hold = node.fleet.floor(pool.name(), FloorKind::Hold);
+            let evict = node.fleet.floor(pool.name(), FloorKind::Evict);
+            pool.set_floors(hold, evict);
             pool.tick();
         }
+        let wanted = node.pools.wanted_floors();
+        if wanted != told && told_at.elapsed() >= TELL {
+            node.fleet.broadcast(&node.beat(), None);
+            told = wanted;
+            told_at = Instant::now();
+        }
     }
 }
 
--- a/crates/router/src/pressure.rs
+++ b/crates/router/src/pressure.rs
@@ -8,6 +8,8 @@
 
 /// Time that a floor stays after its cause has gone.
 const HOLD: Duration = Duration::from_secs(1);
+/// Time that less important work is held back after the last more important request waited.
+const HOLD_LASTS: Duration = Duration::from_millis(300);
 /// Time after which a floor has reached every instance.
 const SETTLE: Duration = Duration::from_millis(500);
 /// Shortest advice on when to come back.
@@ -23,6 +25,9 @@
     until: Option<Instant>,
     began: Option<Instant>,
     fleet: Level,
+    hold: Level,
+    hold_until: Option<Instant>,
+    fleet_hold: Level,
 }
 
 impl Default for Pressure {
@@ -33,6 +38,9 @@
             until: None,
             began: None,
             fleet: Level::MAX,
+            hold: Level::MAX,
+            hold_until: None,
+            fleet_hold: Level::MAX,
         }
     }
 }
@@ -40,6 +48,8 @@
 impl Pressure {
     /// Share of its longest wait after which a request presses on less important ones.
     pub const LATE_SHARE: f64 = 0.5;
+    /// Wait after which a request counts as held back.
+    pub const HOLD_AFTER: Duration = Duration::from_millis(40);
 
     /// Takes in the most important tier that is under pressure now, if any.
     pub fn update(&mut self, pressed: Option<Level>, now: Instant) {
@@ -78,9 +88,38 @@
         self.wanted(now).min(self.fleet)
     }
 
-    /// Takes in the floor that the other instances ask for.
-    pub const fn set_fleet(&mut self, floor: Level) {
-        self.fleet = floor;
+    /// Takes in the most important tier in which work is held back here, if any.
+    pub fn update_hold(&mut self, held: Option<Level>, now: Instant) {
+        let over = self.hold_until.is_none_or(|until| until <= now);
+        match held {
+            Some(level) if level <= self.hold || over => {
+                self.hold = level;
+                self.hold_until = Some(now + HOLD_LASTS);
+            }
+            None if over => self.hold = Level::MAX,
+            _ => {}
+        }
+    }
+
+    /// The least important tier that this instance wants others to start; `Level::MAX` for any.
+    #[must_use]
+    pub fn wanted_hold(&self, now: Instant) -> Level {
+        match self.hold_until {
+            Some(until) if until > now => self.hold,
+            _ => Level::MAX,
+        }
+    }
+
+    /// The least important tier that may be started here, as far as other instances are concerned.
+    #[must_use]
+    pub const fn hold(&self) -> Level {
+        self.fleet_hold
+    }
+
+    /// Takes in the floors that the other instances ask for.
+    pub const fn set_fleet(&mut self, hold: Level, evict: Level) {
+        self.fleet_hold = hold;
+        self.fleet = evict;
     }
 
     /// Whether every instance has had the time to give up what is less important than `level`.
--- a/crates/router/tests/frames.rs
+++ b/crates/router/tests/frames.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use jackdawtally::claims::{Action, Entry, Operation, Outcome, Progress};
-use jackdawtally::frame::{self, Floor, Frame, Hello, Refusal, Seal, Side};
+use jackdawtally::frame::{self, Floor, FloorKind, Frame, Hello, Refusal, Seal, Side};
 use jackdawtally::object::{Change, Edit, Object};
 use uuid::Uuid;
 
@@ -54,6 +54,7 @@
             digest: u64::MAX,
             floors: vec![Floor {
                 pool: "model/m".into(),
+                kind: FloorKind::Hold,
                 level: 2,
                 ttl_ms: 1_500,
             }],
--- a/crates/standins/src/bench.rs
+++ b/crates/standins/src/bench.rs
@@ -142,6 +142,8 @@
     let capacity: f64 = models.map(|(e, _)| e.capacity(began, until)).sum();
     #[expect(clippy::cast_precision_loss, reason = "small numbers")]
     let good = report::good_tokens(&world.deployment, &answers, &records) as f64;
+    #[expect(clippy::cast_precision_loss, reason = "small numbers")]
+    let inside = records.made_inside.values().sum::<u64>() as f64;
     let usage = after.since(&before, elapsed, instances.len());
     Ok(Report {
         deployment: options.deployment.clone(),
@@ -150,6 +152,7 @@
         load: options.load,
         classes: report::classes(&world.deployment, &answers),
         goodput_tokens_per_s: good / seconds,
+        made_tokens_per_s: inside / seconds,
         capacity_tokens_per_s: capacity / seconds,
         wasted_tokens: wasted,
         wasted_share: report::ratio(wasted, made),
--- a/crates/standins/src/report.rs
+++ b/crates/standins/src/report.rs
@@ -47,6 +47,8 @@
     pub classes: Vec<ClassReport>,
     /// Tokens a second of whole answers within their class's target.
     pub goodput_tokens_per_s: f64,
+    /// Tokens a second that the engines made.
+    pub made_tokens_per_s: f64,
     /// Tokens a second that the engines could have given.
     pub capacity_tokens_per_s: f64,
     /// Tokens that were made and reached no caller.
--- a/crates/standins/src/verdict.rs
+++ b/crates/standins/src/verdict.rs
@@ -264,7 +264,12 @@
                 continue;
             }
             let later = self.records.starts.iter().filter(|s| s.at >= pause.at);
-            let again = later.clone().find(|s| s.tag == pause.tag).map(|s| s.at);
+            let again = later.clone().find(|s| s.tag == pause.tag);
+            // It went on at another server at once: it left its slot, and didn't lose it.
+            if again.is_some_and(|s| s.server != pause.server && s.at <= pause.at + BESIDE) {
+                continue;
+            }
+            let again = again.map(|s| s.at);
             let until = again.unwrap_or(paused.ended).min(paused.ended);
             let here = later.filter(|s| s.server == pause.server && s.tag != pause.tag);
             let first = here.clone().take(1).filter(|s| s.at <= pause.at + IN_PLACE);
