Repeat the end of a claim until the platform has it

Ruled out: a dead holder (this one ran).

Change: releases, refusals and results are repeated every second until they are confirmed or the key's window is over.

--- a/crates/router/src/claim.rs
+++ b/crates/router/src/claim.rs
@@ -3,12 +3,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::time::Instant;
 use uuid::Uuid;
 
 use crate::claims::{Action, Attempt, Entry, Operation, Outcome, Progress};
 use crate::error::{Fault, Kind, Ran};
 use crate::node::{self, Node};
 
+/// Time between two tries of an operation that has to be confirmed some time.
+const PERSIST: Duration = Duration::from_secs(1);
+
 /// The idempotency key of a submission.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Submission {
@@ -52,7 +56,7 @@
         let fault = claim.lost(outcome);
         if outcome == Outcome::Unconfirmed {
             // The write may land yet: give the key back, so that the caller may try again.
-            tokio::spawn(async move { claim.submit(Action::Release).await });
+            tokio::spawn(claim.persist(Action::Release));
         }
         Err(fault)
     }
@@ -84,7 +88,7 @@
 
     /// Notes how a dispatched request went, without holding up its answer.
     pub fn settle(self, progress: Progress) {
-        tokio::spawn(async move { self.submit(Action::Settle(progress)).await });
+        tokio::spawn(self.persist(Action::Settle(progress)));
     }
 
     /// Ends a request whose caller has gone, without holding anything up.
@@ -92,19 +96,38 @@
         if self.dispatched {
             self.settle(Progress::Unknown);
         } else {
-            tokio::spawn(async move { self.give_back().await });
+            let action = self.giving_back();
+            tokio::spawn(self.persist(action));
         }
     }
 
     /// Gives the key of an undispatched request back, or notes that it never runs where another
     /// submission may be under way. Tells whether the platform has confirmed it.
     async fn give_back(self) -> bool {
-        let action = if self.submission.first {
+        let action = self.giving_back();
+        let confirmed = self.submit(action).await == Outcome::Done;
+        if !confirmed {
+            tokio::spawn(self.persist(action));
+        }
+        confirmed
+    }
+
+    const fn giving_back(&self) -> Action {
+        if self.submission.first {
             Action::Release
         } else {
             Action::Refuse
-        };
-        self.submit(action).await == Outcome::Done
+        }
+    }
+
+    /// Tries an operation until the platform confirms it, or the key's window is over anyway. Without
+    /// it a key that nobody works on would look as if it ran for as long as this instance does.
+    async fn persist(self, action: Action) {
+        let window = Duration::from_millis(self.node.settings.limits.claim_window_ms);
+        let deadline = Instant::now() + window;
+        while self.submit(action).await == Outcome::Unconfirmed && Instant::now() < deadline {
+            tokio::time::sleep(PERSIST).await;
+        }
     }
 
     async fn submit(&self, action: Action) -> Outcome {
--- a/crates/router/src/pool.rs
+++ b/crates/router/src/pool.rs
@@ -585,7 +585,7 @@
 impl State {
     fn next(&mut self, unstarted: u32, now: Instant) -> Option<(EntryId, ServerId)> {
         let levels: Vec<Level> = self.queue.levels().collect();
-        let hold = self.pressure.hold();
+        let hold = self.pressure.startable();
         for level in levels.into_iter().filter(|level| *level <= hold) {
             let entry = self.queue.head(level)?;
             let ticket = self.queue.item(entry)?.ticket.clone();
--- a/crates/router/src/pressure.rs
+++ b/crates/router/src/pressure.rs
@@ -112,7 +112,7 @@
 
     /// The least important tier that may be started here, as far as other instances are concerned.
     #[must_use]
-    pub const fn hold(&self) -> Level {
+    pub const fn startable(&self) -> Level {
         self.fleet_hold
     }
 
--- a/crates/standins/src/faults.rs
+++ b/crates/standins/src/faults.rs
@@ -115,7 +115,7 @@
     pub actions: Vec<(Duration, Action)>,
 }
 
-/// Draws the times and places of `faults` for a run of `length`.
+/// Draws the times and places of `faults` for a run of `length` after its `warm_up`.
 #[must_use]
 pub fn schedule(
     faults: &[Fault],
@@ -123,6 +123,7 @@
     seed: u64,
     length: Duration,
     instances: usize,
+    warm_up: Duration,
 ) -> Schedule {
     let mut rng = ChaCha8Rng::seed_from_u64(seed ^ 0x5eed);
     let engines = deployment
@@ -133,8 +134,8 @@
         .count();
     let mut schedule = Schedule::default();
     for fault in faults {
-        let from = length.mul_f64(rng.random_range(0.15..0.35));
-        let to = length.mul_f64(rng.random_range(0.55..0.75));
+        let from = warm_up + length.mul_f64(rng.random_range(0.15..0.35));
+        let to = warm_up + length.mul_f64(rng.random_range(0.55..0.75));
         let engine = rng.random_range(0..engines.max(1));
         let instance = rng.random_range(0..instances.max(1));
         let mut add = |at: Duration, action| schedule.actions.push((at, action));
