--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -61,6 +61,7 @@
     text: String,
     sent: u64,
     known: bool,
+    preempted: bool,
     reached: bool,
     held: Option<Held>,
     attempt: u32,
@@ -81,6 +82,7 @@
             claim: None,
             sent: 0,
             known: true,
+            preempted: false,
             reached: false,
             held: None,
             attempt: 0,
@@ -120,11 +122,12 @@
             self.win().await?;
             let before = self.sent;
             let step = self.try_once(&permit).await;
-            self.attempt += 1;
+            // Giving way isn't a failure, however often it happens to a long answer.
+            self.attempt += u32::from(!self.preempted);
             resumed = if self.sent > before { 0 } else { resumed };
             drop(permit);
             match step {
-                Step::Again if self.held.is_some() && !self.movable() => {
+                Step::Again if self.held.is_some() && !self.movable() && !self.preempted => {
                     tokio::time::sleep(RESUME_WAIT * 2_u32.pow(resumed)).await;
                     resumed += 1;
                 }
@@ -141,9 +144,12 @@
         let mut ticket = self.work.ticket.clone();
         ticket.label.begun = self.reached;
         ticket.prefer = self.held.as_ref().map(|h| h.server);
+        // A preempted request waits in the engine's own queue, where nothing less important, from
+        // whichever instance, goes before it.
+        let preempted = std::mem::take(&mut self.preempted);
         let pinned = self.held.as_ref().filter(|h| {
             let resumed = h.server == ServerId::default();
-            resumed || !self.movable()
+            preempted || resumed || !self.movable()
         });
         if let Some(held) = pinned {
             if let Some(permit) = self.work.pool.rejoin(&held.name, &ticket) {
@@ -425,7 +431,10 @@
                 _ = order.wait_for(|o| *o > tolerated) => {
                     let told = *permit.order.borrow();
                     match told {
-                        Order::Preempt => return Step::Again,
+                        Order::Preempt => {
+                            self.preempted = true;
+                            return Step::Again;
+                        }
                         Order::Move if self.movable() => return self.move_on(permit),
                         Order::Move | Order::Run => {}
                         Order::ServerDown => return self.lost(permit, false),
