--- a/crates/router/src/claim.rs
+++ b/crates/router/src/claim.rs
@@ -10,6 +10,8 @@
 use crate::error::{Fault, Kind, Ran};
 use crate::node::{self, Node};
 
+/// Bound on one operation, over the instance that tends the shard and this one.
+const TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Time between two tries of an operation that has to be confirmed some time.
 const PERSIST: Duration = Duration::from_secs(1);
 
@@ -137,7 +139,10 @@
             holder: self.node.membership.own().holder(),
             action,
         };
-        self.node.claim(operation).await
+        match tokio::time::timeout(TIMEOUT, self.node.claim(operation)).await {
+            Ok(outcome) => outcome,
+            Err(_) => Outcome::Unconfirmed,
+        }
     }
 }
 
--- a/crates/router/src/placement.rs
+++ b/crates/router/src/placement.rs
@@ -62,22 +62,30 @@
     if let Some(held) = wish.prefer.filter(|p| roomy.iter().any(|(id, _)| id == p)) {
         return Choice::Server(held);
     }
-    let fast: Vec<(ServerId, f64)> = roomy
+    let mut fast: Vec<(ServerId, f64)> = roomy
         .iter()
         .filter(|(_, s)| !s.straggling() || !wish.targeted)
         .map(|(id, s)| (*id, score(s, now)))
         .collect();
+    let soon: Vec<(ServerId, f64)> = fast
+        .iter()
+        .filter(|(id, _)| starts_soon(&servers[*id], wish, now))
+        .copied()
+        .collect();
+    if wish.targeted && !soon.is_empty() {
+        fast = soon;
+    }
     match fast.len() {
         0 => Choice::Straggler,
         1 => Choice::Server(fast[0].0),
-        _ => Choice::Server(prefer_prefix(servers, &fast, wish, rng)),
+        _ => Choice::Server(prefer_prefix(servers, &fast, wish, now, rng)),
     }
 }
 
 fn has_room(server: &Server, wish: &Wish<'_>, now: Instant) -> bool {
-    let allowance = server.free(now).max(wish.unstarted);
-    let guard = u32::from(wish.guard);
-    server.open(now) && server.unstarted(wish.level) < allowance + guard
+    let allowance = wish.unstarted + u32::from(wish.guard);
+    let behind = server.unstarted(wish.level) < allowance;
+    server.open(now) && (server.free(now) > 0 || behind)
 }
 
 fn score(server: &Server, now: Instant) -> f64 {
@@ -86,14 +94,24 @@
     server.fullness(now) + remote + slow
 }
 
+/// Whether a slot is free, or a running request of this instance can make room.
+fn starts_soon(server: &Server, wish: &Wish<'_>, now: Instant) -> bool {
+    server.free(now) > 0 || server.can_yield(wish.level)
+}
+
 fn prefer_prefix(
     servers: &SlotMap<ServerId, Server>,
     fast: &[(ServerId, f64)],
     wish: &Wish<'_>,
+    now: Instant,
     rng: &mut impl RngExt,
 ) -> ServerId {
     let least = fast.iter().map(|(_, s)| *s).fold(f64::INFINITY, f64::min);
-    let near = fast.iter().filter(|(_, s)| *s <= least + AFFINITY_SLACK);
+    // A cached prefix saves a few steps; a place in a queue costs a request with a target more.
+    let near = fast.iter().filter(|(id, s)| {
+        let waits = wish.targeted && servers[*id].free(now) == 0;
+        *s <= least + AFFINITY_SLACK && !waits
+    });
     let cached = near.max_by_key(|(id, _)| rendezvous(wish.prefix, servers[*id].name()));
     match cached {
         Some((id, _)) if wish.prefix != 0 => *id,
--- a/crates/router/src/pool.rs
+++ b/crates/router/src/pool.rs
@@ -128,6 +128,13 @@
     order: watch::Sender<Order>,
 }
 
+impl Grant {
+    /// Whether it runs, and may be told to make room for more important work.
+    const fn can_yield(&self) -> bool {
+        matches!(self.stage, Stage::Started) && !self.guard
+    }
+}
+
 #[derive(Debug)]
 struct ClassStat {
     progress: Instant,
@@ -537,6 +544,9 @@
             grant.stage = Stage::Started;
             if let Some(server) = servers.get_mut(grant.server) {
                 server.started(grant.label.level);
+                if grant.can_yield() {
+                    server.yields(grant.label.level, true);
+                }
             }
         }
         drop(state);
@@ -549,6 +559,9 @@
             && let Some(server) = state.servers.get_mut(grant.server)
         {
             server.ended(grant.label.level, grant.stage == Stage::Started);
+            if grant.can_yield() {
+                server.yields(grant.label.level, false);
+            }
         }
         drop(state);
         self.pump();
@@ -724,9 +737,7 @@
             let victim = self
                 .grants
                 .values()
-                .filter(|g| {
-                    g.server == server && g.stage == Stage::Started && !g.guard && !g.targeted
-                })
+                .filter(|g| g.server == server && g.can_yield())
                 .filter(|g| g.label.level > level && *g.order.borrow() == Order::Run)
                 .max_by_key(|g| (g.label.level, g.sent));
             if let Some(victim) = victim {
--- a/crates/router/src/pressure.rs
+++ b/crates/router/src/pressure.rs
@@ -47,7 +47,7 @@
 
 impl Pressure {
     /// Share of its longest wait after which a request presses on less important ones.
-    pub const LATE_SHARE: f64 = 0.5;
+    pub const LATE_SHARE: f64 = 0.9;
     /// Wait after which a request counts as held back.
     pub const HOLD_AFTER: Duration = Duration::from_millis(40);
 
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -62,6 +62,7 @@
     left: bool,
     left_until: Option<Instant>,
     in_flight: u32,
+    yielding: [u32; LEVELS],
     unstarted: [u32; LEVELS],
     heard: Option<Heard>,
     gap_ms: f64,
@@ -80,6 +81,7 @@
             left: false,
             left_until: None,
             in_flight: 0,
+            yielding: [0; LEVELS],
             unstarted: [0; LEVELS],
             heard: None,
             gap_ms: 0.0,
@@ -181,6 +183,19 @@
         *n = n.saturating_sub(1);
     }
 
+    /// Counts a running request of this instance that can make room for a more important one, or its
+    /// end.
+    pub fn yields(&mut self, level: Level, more: bool) {
+        let n = &mut self.yielding[slot(level)];
+        *n = if more { *n + 1 } else { n.saturating_sub(1) };
+    }
+
+    /// Whether a running request of this instance can make room here for one of `level`.
+    #[must_use]
+    pub fn can_yield(&self, level: Level) -> bool {
+        self.yielding[slot(level) + 1..].iter().any(|n| *n > 0)
+    }
+
     /// Counts the end of a request; `started` tells whether its first token came.
     pub fn ended(&mut self, level: Level, started: bool) {
         self.in_flight = self.in_flight.saturating_sub(1);
