--- a/crates/standins/src/bench.rs
+++ b/crates/standins/src/bench.rs
@@ -177,7 +177,10 @@
 }
 
 /// Puts the deployment's declarations in force.
-async fn declare(world: &Arc<World>) -> Result<(), String> {
+///
+/// # Errors
+/// When they are refused, or no instance can be reached.
+pub async fn declare(world: &Arc<World>) -> Result<(), String> {
     let declarations: &Declarations = &world.deployment.declarations;
     let text = toml::to_string(declarations).map_err(|e| e.to_string())?;
     let address = *world.operators().first().ok_or("no instance runs")?;
--- /dev/null
+++ b/crates/standins/tests/faults.rs
@@ -0,0 +1,190 @@
+//! Single faults, each struck at a known point, against instances on real sockets.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use jackdawtally_standins::bench;
+use jackdawtally_standins::caller::{Answer, Callers, End, Entries};
+use jackdawtally_standins::deployment::{Deployment, Target};
+use jackdawtally_standins::faults::Action;
+use jackdawtally_standins::ledger::Records;
+use jackdawtally_standins::traffic::Planned;
+use jackdawtally_standins::world::{Policy, World};
+use tokio::task::JoinHandle;
+
+/// Longest wait of a test for anything; only a hang reaches it.
+const PATIENCE: Duration = Duration::from_mins(1);
+
+async fn world() -> Arc<World> {
+    let deployment = Deployment::named("fair").expect("a deployment");
+    let world = World::start(deployment, Policy::Jackdawtally, 1, 2)
+        .await
+        .expect("a world");
+    bench::declare(&world).await.expect("a configuration");
+    world
+}
+
+fn request(tag: u64, length: u64) -> Planned {
+    Planned {
+        at: Duration::ZERO,
+        tag,
+        class: "pedigree-review".into(),
+        level: 3,
+        idempotent: true,
+        organisation: "ranchers-north".into(),
+        target: Target::Stream("records"),
+        length,
+        prefix: 0,
+    }
+}
+
+fn callers(world: &World) -> Callers {
+    let entries = Arc::new(Entries::default());
+    entries.set(world.entries());
+    Callers::new(entries)
+}
+
+fn send(callers: &Callers, request: Planned) -> JoinHandle<Answer> {
+    let callers = callers.clone();
+    tokio::spawn(async move { callers.run(request).await })
+}
+
+async fn wait_for(world: &World, condition: impl Fn(&Records) -> bool) {
+    let waiting = async {
+        while !condition(&world.ledger.records()) {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, waiting)
+        .await
+        .expect("waited in vain");
+}
+
+fn is_whole(answer: &Answer) -> bool {
+    answer.end == End::Complete && !answer.broken && !answer.crossed
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_goes_on_elsewhere_when_its_engine_dies() {
+    let world = world().await;
+    let answer = send(&callers(&world), request(1, 300));
+    wait_for(&world, |r| r.made.get(&1).is_some_and(|n| *n > 50)).await;
+    let server = world.ledger.records().starts[0].server.clone();
+    let place = world
+        .engines
+        .iter()
+        .position(|e| e.options.name == server)
+        .expect("known");
+
+    world.act(&Action::Crash(place)).await;
+    let answer = answer.await.expect("no panic");
+
+    let starts = world.ledger.records().starts;
+    world.stop();
+    assert!(
+        is_whole(&answer),
+        "{:?} after {} pieces",
+        answer.end,
+        answer.pieces
+    );
+    assert!(
+        starts.iter().any(|s| s.base > 0 && s.server != server),
+        "{starts:?}"
+    );
+    assert!(answer.cuts.is_empty(), "the caller didn't notice");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_caller_whose_instance_dies_goes_on_at_another() {
+    let world = world().await;
+    let callers = callers(&world);
+    let all = world.entries();
+    let first = all
+        .iter()
+        .position(|e| e.instance == "entry-01")
+        .expect("two instances");
+    callers.entries.set(vec![all[first].clone()]);
+    let answer = send(&callers, request(1, 300));
+    wait_for(&world, |r| r.made.get(&1).is_some_and(|n| *n > 50)).await;
+
+    callers.entries.set(vec![all[1 - first].clone()]);
+    world.act(&Action::Kill(0)).await;
+    let answer = answer.await.expect("no panic");
+
+    let records = world.ledger.records();
+    world.stop();
+    assert!(
+        is_whole(&answer),
+        "{:?} after {} pieces",
+        answer.end,
+        answer.pieces
+    );
+    assert_eq!(answer.cuts.len(), 1);
+    assert!(
+        records.starts.iter().all(|s| s.base == 0),
+        "the engine itself goes on"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn another_request_s_answer_is_never_delivered() {
+    let world = world().await;
+    for engine in &world.engines {
+        engine.crossed_percent.store(30, Ordering::Relaxed);
+    }
+    let callers = callers(&world);
+
+    let sent: Vec<_> = (1..=40)
+        .map(|tag| send(&callers, request(tag, 30)))
+        .collect();
+    let mut answers = Vec::new();
+    for answer in sent {
+        answers.push(answer.await.expect("no panic"));
+    }
+
+    let nodes = world.all();
+    let seen: u64 = nodes
+        .iter()
+        .filter_map(|i| {
+            i.node
+                .as_ref()?
+                .metrics
+                .totals()
+                .get("backend.crossed")
+                .copied()
+        })
+        .sum();
+    world.stop();
+    assert!(seen > 0, "no answer was crossed");
+    assert!(answers.iter().all(is_whole), "{answers:?}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_keyed_request_runs_once_though_its_engine_dies() {
+    let world = world().await;
+    let mut keyed = request(1, 300);
+    keyed.class = "entry-intake".into();
+    keyed.idempotent = false;
+    let answer = send(&callers(&world), keyed);
+    wait_for(&world, |r| r.made.get(&1).is_some_and(|n| *n > 50)).await;
+    let server = world.ledger.records().starts[0].server.clone();
+    let place = world
+        .engines
+        .iter()
+        .position(|e| e.options.name == server)
+        .expect("known");
+
+    world.act(&Action::Crash(place)).await;
+    world.act(&Action::Recover(place)).await;
+    let answer = answer.await.expect("no panic");
+
+    let starts = world.ledger.records().starts;
+    world.stop();
+    assert_eq!(starts.len(), 1, "{starts:?}");
+    assert!(
+        matches!(&answer.end, End::Refused { ran, .. } if ran == "unknown"),
+        "{:?}",
+        answer.end
+    );
+}
