--- a/crates/router/src/membership.rs
+++ b/crates/router/src/membership.rs
@@ -101,6 +101,7 @@
 struct State {
     own: Facts,
     others: BTreeMap<InstanceId, Known>,
+    digest: Option<u64>,
 }
 
 /// The instances of the fleet as one of them knows them.
@@ -118,6 +119,7 @@
         let state = State {
             own,
             others: BTreeMap::new(),
+            digest: None,
         };
         Self {
             state: Mutex::new(state),
@@ -177,6 +179,7 @@
                 return;
             }
             state.own.version += 1;
+            state.digest = None;
             state.own.clone()
         };
         // Nobody listens before the first link is up.
@@ -194,6 +197,9 @@
             }
         };
         let is_news = news.is_some();
+        if is_news {
+            self.lock().digest = None;
+        }
         if let Some(facts) = news {
             let _ = self.news.send(facts);
         }
@@ -230,11 +236,28 @@
     /// A hash of all facts, equal where two instances know the same.
     #[must_use]
     pub fn digest(&self) -> u64 {
-        let mut all = self.all();
+        let mut state = self.lock();
+        if let Some(digest) = state.digest {
+            return digest;
+        }
+        let digest = state.compute_digest();
+        state.digest = Some(digest);
+        digest
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn compute_digest(&self) -> u64 {
+        let others = self.others.values().map(|k| &k.facts);
+        let mut all: Vec<&Facts> = others.chain([&self.own]).collect();
         all.retain(|f| f.life != Life::Dead);
         all.sort_by(|a, b| a.id.cmp(&b.id));
         let mut text = String::new();
-        for f in &all {
+        for f in all {
             // Writing to a string can't fail.
             let _ = write!(
                 text,
@@ -245,12 +268,6 @@
         placement::hash(text.as_bytes())
     }
 
-    fn lock(&self) -> MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
-impl State {
     /// Answers facts about this instance that aren't its own.
     fn refute(&mut self, facts: &Facts) -> Option<Facts> {
         let stale = facts.incarnation < self.own.incarnation;
--- a/crates/router/tests/membership.rs
+++ b/crates/router/tests/membership.rs
@@ -134,3 +134,19 @@
 
     assert_eq!(watchers, 2);
 }
+
+#[test]
+fn the_digest_follows_every_change_and_is_equal_where_the_same_is_known() {
+    let all = fleet_of(4, 2);
+    let (a, b) = (knowing(&all[0], &all), knowing(&all[1], &all));
+    let before = a.digest();
+
+    a.update(|own| own.config = 5);
+    let changed = a.digest();
+    let differs = b.digest();
+    b.merge(a.own());
+
+    assert_ne!(before, changed);
+    assert_eq!(before, differs);
+    assert_eq!(b.digest(), changed);
+}
