Split the pool's state from its doors; one fixture for requests under way

Two tests repeated the same beginning. Change: the state and its decisions move to pool/state.rs; the tests share a fixture. Behaviour is as it was; the tests keep their assertions and pass.

--- /dev/null
+++ b/crates/router/src/pool/state.rs
@@ -0,0 +1,278 @@
+//! What a pool knows, and the decisions that it takes from it.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use slotmap::SlotMap;
+use smol_str::SmolStr;
+use tokio::sync::{oneshot, watch};
+use tokio::time::Instant;
+
+use super::{GrantId, Order, Permit, ServerId, Ticket};
+use crate::error::{Fault, Kind};
+use crate::object::Level;
+use crate::placement::{self, Choice, Wish};
+use crate::pressure::Pressure;
+use crate::queue::{EntryId, Label, Queue};
+use crate::server::Server;
+
+/// Share of a class's bound after which the starvation guard acts.
+const GUARD_SHARE: f64 = 0.5;
+/// Share of the first-token target that a request is unstarted before it takes a running one's slot.
+const PREEMPT_SHARE: f64 = 0.1;
+/// Tokens expected of a class that nothing is known of.
+const COST_START: f64 = 64.0;
+/// Time after a pause in which no server's speed is measured.
+const QUIET: Duration = Duration::from_millis(500);
+/// Time between two ticks from which this instance is taken to have stood still.
+const PAUSE: Duration = Duration::from_millis(250);
+
+#[derive(Debug)]
+pub(super) struct Waiter {
+    pub(super) ticket: Ticket,
+    pub(super) reply: oneshot::Sender<Result<Permit, Fault>>,
+}
+
+/// How far a sent request has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Stage {
+    /// No token has come.
+    Unstarted,
+    /// No token has come, and a running request was told to make room.
+    Preempting,
+    /// Tokens come.
+    Started,
+}
+
+#[derive(Debug)]
+pub(super) struct Grant {
+    pub(super) server: ServerId,
+    pub(super) label: Label,
+    pub(super) first_token: Option<Duration>,
+    pub(super) targeted: bool,
+    pub(super) guard: bool,
+    pub(super) sent: Instant,
+    pub(super) stage: Stage,
+    pub(super) order: watch::Sender<Order>,
+}
+
+impl Grant {
+    /// Whether it runs, and may be told to make room for more important work.
+    pub(super) const fn can_yield(&self) -> bool {
+        matches!(self.stage, Stage::Started) && !self.guard
+    }
+}
+
+#[derive(Debug)]
+pub(super) struct ClassStat {
+    pub(super) progress: Instant,
+    pub(super) cost: f64,
+}
+
+#[derive(Debug)]
+pub(super) struct State {
+    pub(super) queue: Queue<Waiter>,
+    pub(super) servers: SlotMap<ServerId, Server>,
+    pub(super) grants: SlotMap<GrantId, Grant>,
+    pub(super) classes: HashMap<SmolStr, ClassStat>,
+    pub(super) pressure: Pressure,
+    pub(super) retries: f64,
+    pub(super) ticked: Instant,
+    pub(super) quiet_until: Instant,
+    pub(super) rng: SmallRng,
+}
+
+impl State {
+    pub(super) fn next(&mut self, unstarted: u32, now: Instant) -> Option<(EntryId, ServerId)> {
+        let levels: Vec<Level> = self.queue.levels().collect();
+        let hold = self.pressure.startable();
+        for level in levels.into_iter().filter(|level| *level <= hold) {
+            let entry = self.queue.head(level)?;
+            let ticket = self.queue.item(entry)?.ticket.clone();
+            match self.choose(&ticket, level, false, unstarted, now) {
+                Choice::Server(server) => return Some((entry, server)),
+                Choice::Straggler => {}
+                Choice::Full => return None,
+            }
+        }
+        None
+    }
+
+    pub(super) fn choose(
+        &mut self,
+        ticket: &Ticket,
+        level: Level,
+        guard: bool,
+        unstarted: u32,
+        now: Instant,
+    ) -> Choice {
+        let wish = Wish {
+            level,
+            prefix: ticket.prefix,
+            targeted: ticket.targeted,
+            guard,
+            avoid: &ticket.avoid,
+            prefer: ticket.prefer,
+            unstarted,
+        };
+        let choice = placement::choose(&self.servers, &wish, now, &mut self.rng);
+        // A request that failed everywhere may go back to where it failed.
+        match choice {
+            Choice::Full if !ticket.avoid.is_empty() => {
+                let wish = Wish { avoid: &[], ..wish };
+                placement::choose(&self.servers, &wish, now, &mut self.rng)
+            }
+            choice => choice,
+        }
+    }
+
+    /// The oldest request of each class whose wait without progress nears its bound.
+    pub(super) fn starving(&self, now: Instant) -> Vec<EntryId> {
+        let due = self.classes.iter().filter(|(class, stat)| {
+            let idle = now.saturating_duration_since(stat.progress);
+            self.queue.waiting(class) > 0 && idle > Duration::from_millis(100)
+        });
+        let oldest = due.filter_map(|(class, stat)| {
+            let id = self.queue.oldest(class)?;
+            let waiter = self.queue.item(id)?;
+            let bound = waiter.ticket.starvation.mul_f64(GUARD_SHARE);
+            (now.saturating_duration_since(stat.progress) >= bound).then_some(id)
+        });
+        oldest.collect()
+    }
+
+    /// Starts a class's clock when its first request comes in.
+    pub(super) fn progress(&mut self, class: &SmolStr, now: Instant) {
+        if self.queue.waiting(class) == 0 {
+            self.progressed(class, now);
+        }
+    }
+
+    pub(super) fn progressed(&mut self, class: &SmolStr, now: Instant) {
+        let stat = self.classes.entry(class.clone()).or_insert(ClassStat {
+            progress: now,
+            cost: COST_START,
+        });
+        stat.progress = now;
+    }
+
+    pub(super) fn cost(&self, class: &str) -> u64 {
+        let cost = self.classes.get(class).map_or(COST_START, |s| s.cost);
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "small and positive"
+        )]
+        let cost = cost as u64;
+        cost.max(1)
+    }
+
+    pub(super) fn refuse(&self, ticket: &Ticket, now: Instant) -> Option<Fault> {
+        let label = &ticket.label;
+        let below = label.level > self.pressure.floor(now);
+        let guarded = self.queue.waiting(&label.class) == 0;
+        (below && !guarded && !label.begun).then(|| self.overloaded(label, now))
+    }
+
+    pub(super) fn overloaded(&self, label: &Label, now: Instant) -> Fault {
+        let message = format!("{} gives way to more important work", label.class);
+        Fault::new(Kind::Overloaded, message).retry_after(self.pressure.retry_after(now))
+    }
+
+    /// How much of its longest wait a request has waited; 1.0 is all of it.
+    pub(super) fn waited_share(&self, id: EntryId, now: Instant) -> f64 {
+        let since = self.queue.get(id).map_or(now, |(_, since)| since);
+        let wait = self.queue.item(id).map_or(Duration::MAX, |w| w.ticket.wait);
+        now.saturating_duration_since(since).as_secs_f64() / wait.as_secs_f64().max(0.001)
+    }
+
+    pub(super) fn feel_pressure(&mut self, now: Instant, queue_bytes: usize) {
+        let late = self
+            .queue
+            .fronts()
+            .filter(|id| self.waited_share(*id, now) >= Pressure::LATE_SHARE)
+            .filter_map(|id| self.queue.get(id).map(|(label, _)| label.level))
+            .min();
+        let lowest = self.queue.levels().next_back();
+        let full = lowest.filter(|_| self.queue.bytes() * 2 > queue_bytes);
+        self.pressure
+            .update(late.into_iter().chain(full).min(), now);
+        let waiting = self.queue.fronts().filter(|id| {
+            let since = self.queue.get(*id).map_or(now, |(_, since)| since);
+            now.saturating_duration_since(since) >= Pressure::HOLD_AFTER
+        });
+        let levels = waiting.filter_map(|id| self.queue.get(id).map(|(label, _)| label.level));
+        let held = levels.min();
+        self.pressure.update_hold(held, now);
+    }
+
+    /// Makes room for unstarted requests that would miss their first-token target, by telling a less
+    /// important running request of this instance at the same server to come back later.
+    pub(super) fn preempt(&mut self, now: Instant) -> u64 {
+        let late: Vec<(GrantId, ServerId, Level)> = self
+            .grants
+            .iter()
+            .filter(|(_, g)| g.stage == Stage::Unstarted)
+            .filter(|(_, g)| {
+                let target = g.first_token.map(|t| t.mul_f64(PREEMPT_SHARE));
+                target.is_some_and(|t| now.saturating_duration_since(g.sent) > t)
+            })
+            .map(|(id, g)| (id, g.server, g.label.level))
+            .collect();
+        let mut preempted = 0;
+        for (id, server, level) in late {
+            let victim = self
+                .grants
+                .values()
+                .filter(|g| g.server == server && g.can_yield())
+                .filter(|g| g.label.level > level && *g.order.borrow() == Order::Run)
+                .max_by_key(|g| (g.label.level, g.sent));
+            if let Some(victim) = victim {
+                victim.order.send_replace(Order::Preempt);
+                self.grants[id].stage = Stage::Preempting;
+                preempted += 1;
+            }
+        }
+        preempted
+    }
+
+    /// Notices that this instance itself stood still, so that no server is blamed for it.
+    pub(super) fn notice_pause(&mut self, now: Instant) {
+        if now.saturating_duration_since(self.ticked) > PAUSE {
+            self.quiet_until = now + QUIET;
+        }
+        self.ticked = now;
+    }
+
+    /// Whether this instance itself stands still, or did a moment ago.
+    pub(super) fn stood_still(&self, now: Instant) -> bool {
+        let standing = now.saturating_duration_since(self.ticked) > PAUSE;
+        standing || now < self.quiet_until
+    }
+
+    pub(super) fn judge(&mut self) {
+        let mut gaps: Vec<f64> = self.servers.values().filter_map(Server::gap_ms).collect();
+        if gaps.len() < 3 {
+            return;
+        }
+        gaps.sort_by(f64::total_cmp);
+        let median = gaps[gaps.len() / 2];
+        for (id, server) in &mut self.servers {
+            if server.judge(median) {
+                let slow = self
+                    .grants
+                    .values()
+                    .filter(|g| g.server == id && g.targeted);
+                for grant in slow.filter(|_| server.straggling()) {
+                    grant.order.send_replace(Order::Move);
+                }
+                log::warn!(
+                    "server={} straggling={}",
+                    server.name(),
+                    server.straggling()
+                );
+            }
+        }
+    }
+}
--- a/crates/standins/tests/faults.rs
+++ b/crates/standins/tests/faults.rs
@@ -61,6 +61,16 @@
         .expect("waited in vain");
 }
 
+/// Sends request 1 and waits until it runs; tells the place of the engine that runs it.
+async fn under_way(world: &World, request: Planned) -> (JoinHandle<Answer>, usize) {
+    let answer = send(&callers(world), request);
+    wait_for(world, |r| r.made.get(&1).is_some_and(|n| *n > 50)).await;
+    let server = world.ledger.records().starts[0].server.clone();
+    let mut engines = world.engines.iter();
+    let place = engines.position(|e| e.options.name == server);
+    (answer, place.expect("a known engine"))
+}
+
 fn is_whole(answer: &Answer) -> bool {
     answer.end == End::Complete && !answer.broken && !answer.crossed
 }
@@ -68,18 +78,12 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_stream_goes_on_elsewhere_when_its_engine_dies() {
     let world = world().await;
-    let answer = send(&callers(&world), request(1, 300));
-    wait_for(&world, |r| r.made.get(&1).is_some_and(|n| *n > 50)).await;
-    let server = world.ledger.records().starts[0].server.clone();
-    let place = world
-        .engines
-        .iter()
-        .position(|e| e.options.name == server)
-        .expect("known");
+    let (answer, place) = under_way(&world, request(1, 300)).await;
 
     world.act(&Action::Crash(place)).await;
     let answer = answer.await.expect("no panic");
 
+    let server = world.engines[place].options.name.clone();
     let starts = world.ledger.records().starts;
     world.stop();
     assert!(
@@ -166,14 +170,7 @@
     let mut keyed = request(1, 300);
     keyed.class = "entry-intake".into();
     keyed.idempotent = false;
-    let answer = send(&callers(&world), keyed);
-    wait_for(&world, |r| r.made.get(&1).is_some_and(|n| *n > 50)).await;
-    let server = world.ledger.records().starts[0].server.clone();
-    let place = world
-        .engines
-        .iter()
-        .position(|e| e.options.name == server)
-        .expect("known");
+    let (answer, place) = under_way(&world, keyed).await;
 
     world.act(&Action::Crash(place)).await;
     world.act(&Action::Recover(place)).await;
