Leave an engine by one way

Cause: read again, the change had written three times how a request gives up what an engine has of it (after a lost connection, a straggler, a crossed answer), and a branch whose arms were the same.

--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -327,21 +327,23 @@
         permit.failed(down);
         self.work.node.metrics.count("backend.lost");
         if self.movable() {
-            self.work.ticket.avoid.push(permit.server);
-            if let Some(held) = self.held.take() {
-                self.work.cancel(&held.name, &held.stream);
-            }
+            self.leave(permit);
         }
         Step::Again
     }
 
-    /// Goes on at another engine, as this one is too slow.
-    fn move_on(&mut self, permit: &Permit) -> Step {
-        self.work.node.metrics.count("moved");
+    /// Gives up what the engine has of this request, so that the next try goes to another.
+    fn leave(&mut self, permit: &Permit) {
         self.work.ticket.avoid.push(permit.server);
         if let Some(held) = self.held.take() {
             self.work.cancel(&held.name, &held.stream);
         }
+    }
+
+    /// Goes on at another engine, as this one is too slow.
+    fn move_on(&mut self, permit: &Permit) -> Step {
+        self.work.node.metrics.count("moved");
+        self.leave(permit);
         Step::Again
     }
 
@@ -349,15 +351,11 @@
         log::warn!("server={} answer=crossed", permit.declared.name);
         self.work.node.metrics.count("backend.crossed");
         permit.failed(false);
+        // A request that can't move asks again here: the engine may have its own stream all the same.
         if self.movable() {
-            self.work.ticket.avoid.push(permit.server);
-            if let Some(held) = self.held.take() {
-                self.work.cancel(&held.name, &held.stream);
-            }
-            Step::Again
-        } else {
-            Step::Again
+            self.leave(permit);
         }
+        Step::Again
     }
 
     async fn refused(
