--- a/crates/jackdawtallyd/src/main.rs
+++ b/crates/jackdawtallyd/src/main.rs
@@ -1,11 +1,14 @@
 //! The program of one instance: reads its settings, runs until it is told to leave.
 
+use std::error::Error;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
 use argh::FromArgs;
 use jackdawtally::daemon::Daemon;
 use jackdawtally::settings::Settings;
+use jackdawtally_platform::front::Front;
+use jackdawtally_platform::settings as platform;
 use tokio::signal::unix::{SignalKind, signal};
 
 /// Exit status for settings that can't be used.
@@ -18,34 +21,53 @@
 struct Arguments {
     /// the settings file
     #[argh(option)]
-    settings: PathBuf,
+    settings: Option<PathBuf>,
     /// only check the settings
     #[argh(switch)]
     check: bool,
+    #[argh(subcommand)]
+    command: Option<Command>,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Front(FrontArguments),
+}
+
+/// Run on the users' platform.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "front")]
+struct FrontArguments {
+    /// the platform's settings file; by default the one that its variable names
+    #[argh(option)]
+    settings: Option<PathBuf>,
+    /// only check the settings
+    #[argh(switch)]
+    check: bool,
+}
+
+/// What to run, with its settings.
+enum Role {
+    Instance(Box<Settings>),
+    Front(Box<platform::Settings>),
 }
 
 fn main() -> ExitCode {
     let arguments: Arguments = argh::from_env();
-    let settings = match Settings::read(&arguments.settings) {
-        Ok(settings) => settings,
+    let (path, check, role) = match read(arguments) {
+        Ok(read) => read,
         Err(error) => {
             eprintln!("jackdawtallyd: {error}");
             return ExitCode::from(BAD_SETTINGS);
         }
     };
-    if arguments.check {
-        println!("{}: valid", arguments.settings.display());
+    if check {
+        println!("{}: valid", path.display());
         return ExitCode::SUCCESS;
     }
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
-    let runtime = match tokio::runtime::Runtime::new() {
-        Ok(runtime) => runtime,
-        Err(error) => {
-            eprintln!("jackdawtallyd: can't start: {error}");
-            return ExitCode::from(CANNOT_START);
-        }
-    };
-    match runtime.block_on(run(settings)) {
+    match run(role) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("jackdawtallyd: {error}");
@@ -54,7 +76,34 @@
     }
 }
 
-async fn run(settings: Settings) -> Result<(), Box<dyn std::error::Error>> {
+fn read(arguments: Arguments) -> Result<(PathBuf, bool, Role), Box<dyn Error>> {
+    match (arguments.command, arguments.settings) {
+        (Some(Command::Front(front)), None) => {
+            let path = front.settings.unwrap_or_else(platform::Settings::path);
+            let settings = platform::Settings::read(&path)?;
+            Ok((path, front.check, Role::Front(Box::new(settings))))
+        }
+        (None, Some(path)) => {
+            let settings = Settings::read(&path)?;
+            Ok((path, arguments.check, Role::Instance(Box::new(settings))))
+        }
+        _ => Err("either --settings FILE or a command is needed; see --help".into()),
+    }
+}
+
+fn run(role: Role) -> Result<(), Box<dyn Error>> {
+    match role {
+        Role::Instance(settings) => {
+            tokio::runtime::Runtime::new()?.block_on(run_instance(*settings))
+        }
+        Role::Front(settings) => {
+            let mut runtime = tokio::runtime::Builder::new_current_thread();
+            runtime.enable_all().build()?.block_on(run_front(&settings))
+        }
+    }
+}
+
+async fn run_instance(settings: Settings) -> Result<(), Box<dyn Error>> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let daemon = Daemon::start(settings).await?;
@@ -71,3 +120,19 @@
     daemon.leave().await;
     Ok(())
 }
+
+async fn run_front(settings: &platform::Settings) -> Result<(), Box<dyn Error>> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut reload = signal(SignalKind::hangup())?;
+    let front = Front::start(settings).await?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = reload.recv() => log::info!("settings=reload"),
+        }
+    }
+    front.leave().await;
+    Ok(())
+}
--- a/crates/router/src/error.rs
+++ b/crates/router/src/error.rs
@@ -79,6 +79,8 @@
     MethodNotAllowed => ("method_not_allowed", 405, "invalid_request_error", No);
     /// The body is over the limit.
     BodyTooLarge => ("body_too_large", 413, "invalid_request_error", No);
+    /// The head is over the limit.
+    HeadTooLarge => ("head_too_large", 431, "invalid_request_error", No);
     /// The caller sent its request too slowly.
     CallerTooSlow => ("caller_too_slow", 408, "invalid_request_error", No);
     /// The instance has as many connections as it may have.
@@ -110,6 +112,8 @@
     BackendRefused => ("backend_refused", 400, "invalid_request_error", No);
     /// The request may or may not have run.
     OutcomeUnknown => ("outcome_unknown", 502, "server_error", Unknown);
+    /// The request was sent, and its time ended before its answer came.
+    AnswerTimeout => ("answer_timeout", 504, "timeout_error", Unknown);
     /// The backend server failed in the middle of the answer, and no other could continue it.
     AnswerCut => ("answer_cut", 502, "server_error", Yes);
     /// The stream to be resumed is gone.
--- /dev/null
+++ b/crates/router/src/forward/attempt.rs
@@ -0,0 +1,125 @@
+//! One sending of a request to one backend server, and what is known of it afterwards.
+
+use std::time::Duration;
+
+use http_body_util::Full;
+use smol_str::SmolStr;
+use tokio::time::Instant;
+
+use super::channel::{self, Answer, Channels};
+use super::dialect::{Addition, Dialect, Verdict};
+use super::request::{EventId, Request};
+use crate::pool::Permit;
+
+/// Time that an answer takes on its way back to the caller.
+const WAY_BACK: Duration = Duration::from_millis(5);
+
+/// How a sending failed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// No byte of the request has left.
+    NotSent,
+    /// The backend server says that it didn't run it.
+    NotRun,
+    /// Another backend server has the address.
+    WrongServer,
+    /// The request may have run, and there is no answer.
+    NoAnswer,
+    /// What came doesn't belong to this request.
+    Foreign,
+    /// The answer broke off.
+    Broken,
+    /// The backend server ran it and failed.
+    Failed,
+}
+
+impl Failure {
+    /// The failure's name in logs and metrics.
+    #[must_use]
+    pub const fn as_str(&self) -> &'static str {
+        match self {
+            Self::NotSent => "not_sent",
+            Self::NotRun => "not_run",
+            Self::WrongServer => "wrong_server",
+            Self::NoAnswer => "no_answer",
+            Self::Foreign => "foreign",
+            Self::Broken => "broken",
+            Self::Failed => "failed",
+        }
+    }
+
+    /// Whether the request surely didn't run in this sending.
+    #[must_use]
+    pub const fn surely_not_run(&self) -> bool {
+        matches!(self, Self::NotSent | Self::NotRun | Self::WrongServer)
+    }
+}
+
+/// A sending, for the log.
+#[derive(Clone, Debug)]
+pub struct Record {
+    /// The backend server.
+    pub server: SmolStr,
+    /// How it failed; none where it didn't.
+    pub failure: Option<Failure>,
+}
+
+/// Sends `request` to the permit's server and waits for the head of an answer that belongs to it.
+///
+/// # Errors
+/// The way in which it failed.
+pub async fn send<'a, D: Dialect>(
+    channels: &'a Channels,
+    dialect: &D,
+    request: &Request,
+    permit: &Permit,
+    after: Option<EventId>,
+) -> Result<Answer<'a>, Failure> {
+    let call = call(dialect, request, permit, after);
+    let once = !request.route.kind.repeatable();
+    let answer = match channels.send(permit.declared.address, call, once).await {
+        Ok(answer) => answer,
+        Err(error @ channel::Error::NotSent(_)) => {
+            log::debug!("server={} {error}", permit.declared.name);
+            permit.failed(false);
+            return Err(Failure::NotSent);
+        }
+        Err(error @ channel::Error::NoAnswer(_)) => {
+            log::debug!("server={} {error}", permit.declared.name);
+            permit.failed(false);
+            return Err(Failure::NoAnswer);
+        }
+    };
+    if let Some(report) = dialect.load(&answer.head.headers) {
+        permit.heard(report);
+    }
+    match dialect.verdict(request, &answer.head) {
+        Verdict::Answered => Ok(answer),
+        Verdict::NotRun => Err(Failure::NotRun),
+        Verdict::WrongServer => Err(Failure::WrongServer),
+        Verdict::Foreign => Err(Failure::Foreign),
+    }
+}
+
+fn call<D: Dialect>(
+    dialect: &D,
+    request: &Request,
+    permit: &Permit,
+    after: Option<EventId>,
+) -> http::Request<Full<bytes::Bytes>> {
+    let left = request.deadline.map(|_| {
+        let left = request.until().saturating_duration_since(Instant::now());
+        left.saturating_sub(WAY_BACK)
+    });
+    let addition = Addition {
+        server: &permit.declared,
+        level: permit.priority,
+        left,
+        after,
+    };
+    let mut call = http::Request::new(Full::new(request.body.clone()));
+    *call.method_mut() = request.method.clone();
+    *call.uri_mut() = request.target.parse().unwrap_or_default();
+    *call.headers_mut() = dialect.headers(request, &addition);
+    call
+}
--- /dev/null
+++ b/crates/router/src/forward/declarations.rs
@@ -0,0 +1,88 @@
+//! What the operators have declared, as one compiled snapshot, and the cell that holds the newest.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use smol_str::SmolStr;
+use tokio::sync::watch;
+
+use super::route::{Routes, ServiceName};
+use crate::http1::Limits;
+use crate::object::Level;
+
+/// A version of the declarations; larger is newer.
+pub type Version = u64;
+
+/// Who a caller belongs to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Organisation {
+    /// The organisation's name.
+    pub name: SmolStr,
+    /// The rank of its requests, where it goes before the route's.
+    pub level: Option<Level>,
+}
+
+/// What is declared of the backend servers of one service.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Service {
+    /// The service's name.
+    pub name: ServiceName,
+    /// Connections that one of its backend servers accepts from all instances together.
+    pub connections: u32,
+    /// Whether its backend servers are engines.
+    pub engine: bool,
+}
+
+/// One version of the declarations.
+#[derive(Clone, Debug)]
+pub struct Declarations {
+    /// The version; 0 before any is known.
+    pub version: Version,
+    /// The routes.
+    pub routes: Routes,
+    /// The services by name.
+    pub services: HashMap<ServiceName, Service>,
+    /// Who holds a key; none where callers need no key at all.
+    pub keys: Option<HashMap<SmolStr, Arc<Organisation>>>,
+    /// Bounds on callers.
+    pub limits: Limits,
+}
+
+/// Holds the newest declarations; an older version never replaces a newer one.
+#[derive(Debug)]
+pub struct Current {
+    cell: watch::Sender<Arc<Declarations>>,
+}
+
+impl Current {
+    /// A cell that begins with `initial`.
+    #[must_use]
+    pub fn new(initial: Declarations) -> Self {
+        Self {
+            cell: watch::Sender::new(Arc::new(initial)),
+        }
+    }
+
+    /// The newest declarations.
+    #[must_use]
+    pub fn get(&self) -> Arc<Declarations> {
+        self.cell.borrow().clone()
+    }
+
+    /// Takes in a version; tells whether it is newer than what was known.
+    pub fn offer(&self, declarations: Declarations) -> bool {
+        self.cell.send_if_modified(|current| {
+            let newer = declarations.version > current.version;
+            if newer {
+                *current = Arc::new(declarations);
+            }
+            newer
+        })
+    }
+
+    /// Told of each new version.
+    #[must_use]
+    pub fn subscribe(&self) -> watch::Receiver<Arc<Declarations>> {
+        self.cell.subscribe()
+    }
+}
--- /dev/null
+++ b/crates/router/src/forward/job.rs
@@ -0,0 +1,401 @@
+//! Brings one request to its end: from pool to backend server and back, over as many sendings as its
+//! route and the budget allow.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http::{HeaderMap, StatusCode};
+use tokio::time::{self, Instant};
+
+use super::attempt::{self, Failure, Record};
+use super::budget::{Budget, Terms};
+use super::channel::{Answer, Channels};
+use super::dialect::Dialect;
+use super::request::{EventId, Request};
+use super::route::{Kind as Repeat, ServiceName};
+use crate::error::{Fault, Kind};
+use crate::http1::{Gone, Reply};
+use crate::node::Node;
+use crate::pool::{Permit, Pool, Ticket};
+use crate::queue::Label;
+use crate::sse::Cutter;
+
+/// Largest answer that is kept until it is whole; a larger one is passed on in pieces.
+const WHOLE_BYTES: usize = 256 << 10;
+/// Sendings that may fail before a byte has left.
+const UNSENT_TRIES: u32 = 4;
+/// Time without progress after which a route's requests get a place out of turn.
+const STARVATION: Duration = Duration::from_secs(4);
+/// Shortest advice on when to come back.
+const RETRY_AFTER: Duration = Duration::from_millis(300);
+
+/// What all requests of one instance share.
+pub struct Core<D> {
+    /// The instance.
+    pub node: Arc<Node>,
+    /// Connections to backend servers.
+    pub channels: Channels,
+    /// How backend servers are spoken to.
+    pub dialect: D,
+    /// The bounds on second sends.
+    pub terms: Terms,
+    /// The most instances that spend the budget at a time.
+    pub instances: u32,
+    budgets: Mutex<HashMap<ServiceName, Budget>>,
+}
+
+impl<D> Core<D> {
+    /// The shared part of an instance's requests.
+    #[must_use]
+    pub fn new(node: Arc<Node>, dialect: D, terms: Terms, instances: u32) -> Self {
+        Self {
+            node,
+            channels: Channels::default(),
+            dialect,
+            terms,
+            instances,
+            budgets: Mutex::default(),
+        }
+    }
+
+    fn budget<T>(&self, service: &ServiceName, act: impl FnOnce(&mut Budget) -> T) -> T {
+        let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
+        act(budgets.entry(service.clone()).or_default())
+    }
+}
+
+/// How a request ended.
+#[derive(Clone, Debug)]
+pub enum Outcome {
+    /// A backend server's answer was passed on whole, with this status.
+    Answered(StatusCode),
+    /// The caller was told of this fault.
+    Refused(Fault),
+    /// The answer had begun and could not be completed; the connection is broken.
+    Cut(Fault),
+    /// The caller left.
+    CallerGone,
+}
+
+/// Why a request didn't get its answer.
+enum End {
+    Gone,
+    Fault(Fault),
+}
+
+impl From<Gone> for End {
+    fn from(_: Gone) -> Self {
+        Self::Gone
+    }
+}
+
+/// An answer that was read whole.
+struct Whole {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+/// What one sending came to.
+enum Step {
+    Done(StatusCode),
+    Failed(Failure),
+}
+
+/// One request on its way.
+pub struct Job<'a, 'r, D> {
+    core: &'a Core<D>,
+    pool: Arc<Pool>,
+    service: &'a ServiceName,
+    request: &'a Request,
+    reply: &'a mut Reply<'r>,
+    ticket: Ticket,
+    may_have_run: bool,
+    sendings: u32,
+    after: Option<EventId>,
+    spare: Option<Whole>,
+    /// The sendings, for the log.
+    pub records: Vec<Record>,
+}
+
+impl<'a, 'r, D: Dialect> Job<'a, 'r, D> {
+    /// A request that nothing has been done for yet, for the backend servers of `service` in `pool`.
+    pub fn new(
+        core: &'a Core<D>,
+        pool: Arc<Pool>,
+        service: &'a ServiceName,
+        request: &'a Request,
+        reply: &'a mut Reply<'r>,
+    ) -> Self {
+        Self {
+            ticket: ticket(request),
+            after: request.after,
+            core,
+            pool,
+            service,
+            request,
+            reply,
+            may_have_run: false,
+            sendings: 0,
+            spare: None,
+            records: Vec::new(),
+        }
+    }
+
+    /// Answers the request.
+    pub async fn run(&mut self) -> Outcome {
+        let now = Instant::now();
+        self.core
+            .budget(self.service, |b| b.earn(&self.core.terms, now));
+        let until = self.request.until();
+        let end = match time::timeout_at(until, self.drive()).await {
+            Ok(Ok(status)) => return Outcome::Answered(status),
+            Ok(Err(end)) => end,
+            Err(_) => End::Fault(self.timed_out()),
+        };
+        match end {
+            End::Gone => Outcome::CallerGone,
+            End::Fault(fault) => self.fail(fault).await,
+        }
+    }
+
+    fn timed_out(&self) -> Fault {
+        if self.may_have_run {
+            Fault::new(Kind::AnswerTimeout, "the answer took too long")
+        } else {
+            Fault::new(Kind::Overloaded, "no backend server had room in time")
+                .retry_after(RETRY_AFTER)
+        }
+    }
+
+    /// Tells the caller that there is no answer, or gives it the one of an earlier sending.
+    async fn fail(&mut self, fault: Fault) -> Outcome {
+        if !self.reply.unsent() {
+            return Outcome::Cut(fault);
+        }
+        if let Some(spare) = self.spare.take() {
+            return match self.deliver(&spare).await {
+                Ok(()) => Outcome::Answered(spare.status),
+                Err(Gone) => Outcome::CallerGone,
+            };
+        }
+        Outcome::Refused(fault)
+    }
+
+    async fn drive(&mut self) -> Result<StatusCode, End> {
+        let mut unsent = 0;
+        loop {
+            let permit = self.permit().await?;
+            let step = self.send(&permit).await?;
+            let failure = match step {
+                Step::Done(status) => {
+                    self.record(&permit, None);
+                    return Ok(status);
+                }
+                Step::Failed(failure) => failure,
+            };
+            self.record(&permit, Some(failure.clone()));
+            self.ticket.avoid.push(permit.server);
+            drop(permit);
+            if failure == Failure::NotSent {
+                unsent += 1;
+            } else {
+                self.sendings += 1;
+            }
+            self.may_have_run |= !failure.surely_not_run();
+            let allowed = unsent < UNSENT_TRIES && self.may_send_again(&failure);
+            if !allowed {
+                return Err(End::Fault(self.fault(&failure)));
+            }
+        }
+    }
+
+    fn record(&mut self, permit: &Permit, failure: Option<Failure>) {
+        self.records.push(Record {
+            server: permit.declared.name.clone(),
+            failure,
+        });
+    }
+
+    async fn permit(&self) -> Result<Permit, End> {
+        let mut ticket = self.ticket.clone();
+        ticket.label.begun = !self.reply.unsent();
+        self.pool.enter(ticket).await.map_err(End::Fault)
+    }
+
+    fn may_send_again(&self, failure: &Failure) -> bool {
+        if *failure == Failure::NotSent && self.sendings == 0 {
+            return true;
+        }
+        let repeatable = !self.may_have_run || self.request.route.kind.repeatable();
+        let left = self.sendings < self.request.route.attempts;
+        repeatable && left && self.pay()
+    }
+
+    fn pay(&self) -> bool {
+        let (terms, instances) = (&self.core.terms, self.core.instances);
+        let now = Instant::now();
+        self.core
+            .budget(self.service, |b| b.spend(terms, instances, now))
+    }
+
+    fn fault(&self, failure: &Failure) -> Fault {
+        let reason = failure.as_str();
+        match failure {
+            _ if self.may_have_run => Fault::new(Kind::OutcomeUnknown, reason),
+            Failure::NotRun => Fault::new(Kind::Overloaded, "the backend servers are full")
+                .retry_after(RETRY_AFTER),
+            _ => Fault::new(Kind::NoBackendServer, reason).retry_after(RETRY_AFTER),
+        }
+    }
+
+    async fn send(&mut self, permit: &Permit) -> Result<Step, End> {
+        let core = self.core;
+        let sent = attempt::send(
+            &core.channels,
+            &core.dialect,
+            self.request,
+            permit,
+            self.after,
+        );
+        // Until an answer says otherwise, a request on its way may run.
+        let ran_before = std::mem::replace(&mut self.may_have_run, true);
+        let answer = sent.await;
+        if !matches!(&answer, Err(failure) if !failure.surely_not_run()) {
+            self.may_have_run = ran_before || answer.is_ok();
+        }
+        match answer {
+            Ok(answer) if self.request.route.kind.streams() && answer.head.status.is_success() => {
+                self.stream(permit, answer).await
+            }
+            Ok(answer) => self.whole(permit, answer).await,
+            Err(failure) => Ok(Step::Failed(failure)),
+        }
+    }
+
+    async fn whole(&mut self, permit: &Permit, mut answer: Answer<'_>) -> Result<Step, End> {
+        let status = answer.head.status;
+        if !self.reply.unsent() {
+            return Ok(Step::Failed(Failure::Failed));
+        }
+        let mut body = BytesMut::new();
+        loop {
+            match answer.bytes().await {
+                Ok(Some(bytes)) => body.extend_from_slice(&bytes),
+                Ok(None) => break,
+                Err(_) => return Ok(Step::Failed(Failure::Broken)),
+            }
+            if body.len() > WHOLE_BYTES {
+                return self.pieces(answer, &body).await;
+            }
+        }
+        permit.started();
+        let whole = Whole {
+            status,
+            headers: std::mem::take(&mut answer.head.headers),
+            body: body.freeze(),
+        };
+        answer.finish();
+        permit.completed(1);
+        let again = status.is_server_error() && self.request.route.kind == Repeat::Idempotent;
+        if again && self.sendings + 1 < self.request.route.attempts {
+            self.spare = Some(whole);
+            return Ok(Step::Failed(Failure::Failed));
+        }
+        self.deliver(&whole).await?;
+        Ok(Step::Done(status))
+    }
+
+    async fn deliver(&mut self, whole: &Whole) -> Result<(), Gone> {
+        self.reply
+            .whole(whole.status, &whole.headers, &whole.body)
+            .await
+    }
+
+    /// Passes on an answer that is too large to be kept until it is whole.
+    async fn pieces(&mut self, mut answer: Answer<'_>, first: &[u8]) -> Result<Step, End> {
+        let status = answer.head.status;
+        self.reply
+            .start(status, &answer.head.headers, first)
+            .await?;
+        loop {
+            match answer.bytes().await {
+                Ok(Some(bytes)) => self.reply.piece(&bytes).await?,
+                Ok(None) => break,
+                Err(_) => return Err(End::Fault(Fault::new(Kind::AnswerCut, "broken"))),
+            }
+        }
+        answer.finish();
+        self.reply.end().await?;
+        Ok(Step::Done(status))
+    }
+
+    /// Passes on whole events as they come.
+    async fn stream(&mut self, permit: &Permit, mut answer: Answer<'_>) -> Result<Step, End> {
+        let status = answer.head.status;
+        let mut cutter = Cutter::default();
+        let mut events = 0;
+        loop {
+            let bytes = match answer.bytes().await {
+                Ok(Some(bytes)) => bytes,
+                Ok(None) if cutter.is_empty() => break,
+                Ok(None) | Err(_) => return Ok(Step::Failed(Failure::Broken)),
+            };
+            cutter.feed(&bytes);
+            let Some(batch) = cutter.events(self.after) else {
+                continue;
+            };
+            if events == 0 {
+                permit.started();
+            }
+            events += 1;
+            self.pass(&answer, status, &batch.bytes).await?;
+            self.after = batch.last.or(self.after);
+        }
+        permit.completed(events);
+        if self.reply.unsent() {
+            self.reply.start(status, &answer.head.headers, &[]).await?;
+        }
+        answer.finish();
+        self.reply.end().await?;
+        Ok(Step::Done(status))
+    }
+
+    async fn pass(
+        &mut self,
+        answer: &Answer<'_>,
+        status: StatusCode,
+        bytes: &[u8],
+    ) -> Result<(), Gone> {
+        if self.reply.unsent() {
+            self.reply.start(status, &answer.head.headers, bytes).await
+        } else {
+            self.reply.piece(bytes).await
+        }
+    }
+}
+
+fn ticket(request: &Request) -> Ticket {
+    let route = &request.route;
+    let bytes = request.body.len() + request.target.len();
+    Ticket {
+        label: Label {
+            level: request.level,
+            class: route.name.clone(),
+            organisation: request.organisation.clone().unwrap_or_default(),
+            share: 1,
+            bytes,
+            cost: 1,
+            begun: false,
+        },
+        prefix: request.affinity(),
+        first_token: Some(route.target),
+        targeted: true,
+        starvation: STARVATION,
+        wait: route.target,
+        avoid: Vec::new(),
+        prefer: None,
+    }
+}
--- /dev/null
+++ b/crates/router/src/forward/mod.rs
@@ -0,0 +1,15 @@
+//! Passes opaque requests on to backend servers: which route a request takes, when and how often it may
+//! be sent, and what its caller is told.
+//!
+//! Nothing here knows how a header is spelled. Adapters decode a caller's request into a
+//! [`request::Request`], and a [`dialect::Dialect`] writes and reads what goes over the wire to a backend
+//! server.
+
+pub mod attempt;
+pub mod budget;
+pub mod channel;
+pub mod declarations;
+pub mod dialect;
+pub mod job;
+pub mod request;
+pub mod route;
--- /dev/null
+++ b/crates/router/src/http1/mod.rs
@@ -0,0 +1,12 @@
+//! HTTP/1.1 towards callers where the exact framing matters: which bytes belong to which request, when a
+//! connection ends without an answer, and when a caller has left.
+//!
+//! Heads are parsed by the library that hyper uses as well; hyper's own server hides whether a request
+//! carried two framings, and starts its head timeout while a connection is idle.
+
+mod chunked;
+mod connection;
+mod head;
+
+pub use connection::{Gone, Handler, Limits, Phase, Reply, Request, serve};
+pub use head::{Framing, Head, Malformed, is_end_to_end, parse};
--- a/crates/router/src/pool.rs
+++ b/crates/router/src/pool.rs
@@ -102,6 +102,15 @@
     pub unstarted: u32,
 }
 
+/// Who makes room for more important work at a full server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Preemption {
+    /// The pool tells a running request to come back later.
+    Here,
+    /// The server itself, by the priorities of its requests.
+    AtServer,
+}
+
 /// Counts that the status answer shows.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Stats {
@@ -140,7 +149,20 @@
     /// A pool without servers.
     #[must_use]
     pub fn new(name: SmolStr, limits: Limits, metrics: Arc<Metrics>, seed: u64) -> Arc<Self> {
+        Self::with_preemption(name, limits, metrics, seed, Preemption::Here)
+    }
+
+    /// The same, with a choice of who makes room for more important work.
+    #[must_use]
+    pub fn with_preemption(
+        name: SmolStr,
+        limits: Limits,
+        metrics: Arc<Metrics>,
+        seed: u64,
+        preemption: Preemption,
+    ) -> Arc<Self> {
         let state = State {
+            preemption,
             queue: Queue::default(),
             servers: SlotMap::with_key(),
             grants: SlotMap::with_key(),
@@ -477,13 +499,16 @@
     fn started(self: &Arc<Self>, grant: GrantId) {
         let mut state = self.lock();
         let State {
-            grants, servers, ..
+            grants,
+            servers,
+            preemption,
+            ..
         } = &mut *state;
         if let Some(grant) = grants.get_mut(grant).filter(|g| g.stage != Stage::Started) {
             grant.stage = Stage::Started;
             if let Some(server) = servers.get_mut(grant.server) {
                 server.started(grant.label.level);
-                if grant.can_yield() {
+                if *preemption == Preemption::Here && grant.can_yield() {
                     server.yields(grant.label.level, true);
                 }
             }
@@ -494,11 +519,12 @@
 
     fn ended(self: &Arc<Self>, grant: GrantId) {
         let mut state = self.lock();
+        let here = state.preemption == Preemption::Here;
         if let Some(grant) = state.grants.remove(grant)
             && let Some(server) = state.servers.get_mut(grant.server)
         {
             server.ended(grant.label.level, grant.stage == Stage::Started);
-            if grant.can_yield() {
+            if here && grant.can_yield() {
                 server.yields(grant.label.level, false);
             }
         }
--- a/crates/router/src/pool/state.rs
+++ b/crates/router/src/pool/state.rs
@@ -9,7 +9,7 @@
 use tokio::sync::{oneshot, watch};
 use tokio::time::Instant;
 
-use super::{GrantId, Order, Permit, ServerId, Ticket};
+use super::{GrantId, Order, Permit, Preemption, ServerId, Ticket};
 use crate::error::{Fault, Kind};
 use crate::object::Level;
 use crate::placement::{self, Choice, Wish};
@@ -72,6 +72,7 @@
 
 #[derive(Debug)]
 pub(super) struct State {
+    pub(super) preemption: Preemption,
     pub(super) queue: Queue<Waiter>,
     pub(super) servers: SlotMap<ServerId, Server>,
     pub(super) grants: SlotMap<GrantId, Grant>,
@@ -210,6 +211,9 @@
     /// Makes room for unstarted requests that would miss their first-token target, by telling a less
     /// important running request of this instance at the same server to come back later.
     pub(super) fn preempt(&mut self, now: Instant) -> u64 {
+        if self.preemption == Preemption::AtServer {
+            return 0;
+        }
         let late: Vec<(GrantId, ServerId, Level)> = self
             .grants
             .iter()
--- a/crates/router/src/pools.rs
+++ b/crates/router/src/pools.rs
@@ -10,10 +10,11 @@
 use crate::catalogue::Catalogue;
 use crate::changelog;
 use crate::frame::FloorKind;
+use crate::metrics::Metrics;
 use crate::node::Node;
 use crate::object::{BackendServer, Level};
 use crate::placement;
-use crate::pool::{Limits, Pool, ServerId};
+use crate::pool::{Limits, Pool, Preemption, ServerId};
 use crate::settings::Settings;
 
 /// Backend servers of one pool that an instance sends to at most.
@@ -91,7 +92,7 @@
             }
         }
         for (name, servers) in by_pool {
-            let pool = self.open(node, &name);
+            let pool = self.open(&node.metrics, &name, Preemption::Here);
             let chosen = self.subset(servers);
             let known: Vec<ServerId> = pool.servers().iter().map(|(id, _)| *id).collect();
             pool.declare(&chosen, &self.data_centre);
@@ -105,11 +106,19 @@
         }
     }
 
-    fn open(&self, node: &Arc<Node>, name: &SmolStr) -> Arc<Pool> {
+    /// Takes over the servers of one pool whose servers tell their load along with answers, and see to
+    /// the order of their requests themselves.
+    pub fn replace(&self, metrics: &Arc<Metrics>, name: &SmolStr, servers: &[&BackendServer]) {
+        let pool = self.open(metrics, name, Preemption::AtServer);
+        pool.declare(servers, &self.data_centre);
+    }
+
+    fn open(&self, metrics: &Arc<Metrics>, name: &SmolStr, preemption: Preemption) -> Arc<Pool> {
         let mut pools = self.lock();
         let pool = pools.entry(name.clone()).or_insert_with(|| {
             let seed = placement::rendezvous(placement::hash(name.as_bytes()), &self.instance);
-            Pool::new(name.clone(), self.limits, Arc::clone(&node.metrics), seed)
+            let metrics = Arc::clone(metrics);
+            Pool::with_preemption(name.clone(), self.limits, metrics, seed, preemption)
         });
         Arc::clone(pool)
     }
--- a/crates/router/src/sse.rs
+++ b/crates/router/src/sse.rs
@@ -76,6 +76,75 @@
     }
 }
 
+/// Events as they were sent, cut at their ends.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Batch {
+    /// The events, each with the empty line that ends it.
+    pub bytes: Bytes,
+    /// The id of the last event that has one.
+    pub last: Option<u64>,
+}
+
+/// Cuts a byte stream into whole events without changing a byte of them.
+#[derive(Debug, Default)]
+pub struct Cutter {
+    buffer: BytesMut,
+    seen: usize,
+}
+
+impl Cutter {
+    /// Takes in the next bytes of the stream.
+    pub fn feed(&mut self, bytes: &[u8]) {
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// Whether no part of an event waits for its rest.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.buffer.is_empty()
+    }
+
+    /// All whole events that there are, without those up to `after`.
+    pub fn events(&mut self, after: Option<u64>) -> Option<Batch> {
+        let mut bytes = BytesMut::new();
+        let mut last = after;
+        while let Some(event) = self.event() {
+            let id = event_id(&event);
+            if id.is_some() && id <= last {
+                continue;
+            }
+            last = id.or(last);
+            bytes.extend_from_slice(&event);
+        }
+        (!bytes.is_empty()).then(|| Batch {
+            bytes: bytes.freeze(),
+            last,
+        })
+    }
+
+    /// The next whole event.
+    fn event(&mut self) -> Option<Bytes> {
+        let mut start = self.seen;
+        while let Some(length) = memchr::memchr(b'\n', &self.buffer[start..]) {
+            let line = &self.buffer[start..start + length];
+            let end = start + length + 1;
+            if line.is_empty() || line == b"\r" {
+                self.seen = 0;
+                return Some(self.buffer.split_to(end).freeze());
+            }
+            start = end;
+        }
+        self.seen = start;
+        None
+    }
+}
+
+fn event_id(event: &[u8]) -> Option<u64> {
+    let mut lines = event.split(|b| *b == b'\n');
+    let value = lines.find_map(|line| line.strip_prefix(b"id:"))?;
+    std::str::from_utf8(value).ok()?.trim().parse().ok()
+}
+
 fn value_start(line: &[u8], after_colon: usize) -> usize {
     after_colon + usize::from(line.get(after_colon) == Some(&b' '))
 }
