--- a/crates/router/src/forward/budget.rs
+++ b/crates/router/src/forward/budget.rs
@@ -23,21 +23,12 @@
 const SHARE: f64 = 0.75;
 
 /// One instance's part of one service's budget.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Budget {
     requests: VecDeque<Instant>,
     repeats: VecDeque<Instant>,
 }
 
-impl Default for Budget {
-    fn default() -> Self {
-        Self {
-            requests: VecDeque::new(),
-            repeats: VecDeque::new(),
-        }
-    }
-}
-
 impl Budget {
     /// Counts a request of a caller.
     pub fn earn(&mut self, terms: &Terms, now: Instant) {
--- a/crates/router/src/forward/declarations.rs
+++ b/crates/router/src/forward/declarations.rs
@@ -70,6 +70,7 @@
     }
 
     /// Takes in a version; tells whether it is newer than what was known.
+    #[must_use]
     pub fn offer(&self, declarations: Declarations) -> bool {
         self.cell.send_if_modified(|current| {
             let newer = declarations.version > current.version;
--- a/crates/router/src/http1/connection.rs
+++ b/crates/router/src/http1/connection.rs
@@ -243,7 +243,7 @@
             _ => return,
         }
     }
-    std::future::pending().await
+    std::future::pending::<()>().await;
 }
 
 /// Ends the connection so that the caller can still read its answer: closing with unread bytes would
--- a/crates/router/src/http1/head.rs
+++ b/crates/router/src/http1/head.rs
@@ -157,9 +157,10 @@
 
 fn keep_alive(headers: &HeaderMap, http_11: bool) -> bool {
     let tokens = || connection_tokens(headers);
-    match http_11 {
-        true => !tokens().any(|t| t.eq_ignore_ascii_case("close")),
-        false => tokens().any(|t| t.eq_ignore_ascii_case("keep-alive")),
+    if http_11 {
+        !tokens().any(|t| t.eq_ignore_ascii_case("close"))
+    } else {
+        tokens().any(|t| t.eq_ignore_ascii_case("keep-alive"))
     }
 }
 
--- /dev/null
+++ b/crates/router/tests/routes.rs
@@ -0,0 +1,94 @@
+//! Routes by host and longest prefix, and the split between services.
+
+#![expect(clippy::needless_pass_by_value, reason = "properties take their cases by value")]
+
+#[path = "common/property.rs"]
+mod property;
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use jackdawtally::forward::route::{Kind, Route, Routes, Share};
+
+fn route(host: &str, prefix: &str) -> Route {
+    Route {
+        name: format!("{host}{prefix}").into(),
+        host: host.into(),
+        prefix: prefix.into(),
+        kind: Kind::Idempotent,
+        timeout: Duration::from_secs(1),
+        target: Duration::from_secs(1),
+        gap: None,
+        level: 0,
+        attempts: 1,
+        public: false,
+        sticky: false,
+        shares: vec![],
+    }
+}
+
+/// Finds the longest prefix by trying every route.
+fn naive<'a>(routes: &'a [Route], host: &str, path: &str) -> Option<&'a Route> {
+    let fits = |r: &&Route| r.host == host && path.starts_with(r.prefix.as_str());
+    routes.iter().filter(fits).max_by_key(|r| r.prefix.len())
+}
+
+#[test]
+fn longest_prefix_wins() {
+    let routes = Routes::new([
+        route("h", "/a/"),
+        route("h", "/a/b/"),
+        route("g", "/a/b/c/"),
+    ]);
+
+    let found = routes.find("h", "/a/b/c/d").expect("a route");
+
+    assert_eq!(found.prefix, "/a/b/");
+    assert!(routes.find("h", "/a").is_none());
+    assert!(routes.find("h", "/ab/").is_none());
+    assert!(routes.find("x", "/a/").is_none());
+}
+
+#[test]
+fn table_agrees_with_trying_every_route() {
+    fn property(prefixes: Vec<Vec<bool>>, path: Vec<bool>) -> bool {
+        let text = |steps: &[bool]| {
+            let steps = steps.iter().take(4).map(|s| if *s { "a/" } else { "b/" });
+            std::iter::once("/").chain(steps).collect::<String>()
+        };
+        let mut names: Vec<String> = prefixes.iter().map(|p| text(p)).collect();
+        names.sort();
+        names.dedup();
+        let routes: Vec<Route> = names.iter().map(|p| route("h", p)).collect();
+        let table = Routes::new(routes.clone());
+        let path = text(&path) + "x";
+
+        let found = table.find("h", &path).map(|r| r.prefix.clone());
+
+        found == naive(&routes, "h", &path).map(|r| r.prefix.clone())
+    }
+    property::check(property as fn(Vec<Vec<bool>>, Vec<bool>) -> bool);
+}
+
+#[test]
+fn split_follows_the_weights_and_never_changes_for_a_request() {
+    let share = |service: &str, weight| Share {
+        service: service.into(),
+        weight,
+    };
+    let split = Route {
+        shares: vec![share("x", 90), share("y", 10), share("z", 0)],
+        ..route("h", "/")
+    };
+
+    let mut counts: HashMap<&str, u32> = HashMap::new();
+    for id in 0..10_000 {
+        let id = id.to_string();
+        let service = split.service(&id).expect("a service");
+        assert_eq!(split.service(&id), Some(service));
+        *counts.entry(service).or_default() += 1;
+    }
+
+    assert!((8_800..9_200).contains(&counts["x"]), "{counts:?}");
+    assert!(!counts.contains_key("z"), "{counts:?}");
+}
