Read each common beginning of prompts at one engine

Ruled out: instances (0.006 cores), slots (64 each, a third used). Change: a prompt goes where the fewest tokens are read before its end; a beginning has a rendezvous home and a second one for overflow. Own unstarted tokens and the age of the oldest count as waiting.

--- a/crates/router/src/forward/job.rs
+++ b/crates/router/src/forward/job.rs
@@ -18,6 +18,7 @@
 use crate::error::{Fault, Kind};
 use crate::http1::{Gone, Reply};
 use crate::node::Node;
+use crate::placement::Prompt;
 use crate::pool::{Permit, Pool, Ticket};
 use crate::queue::Label;
 use crate::sse::Cutter;
@@ -222,7 +223,13 @@
     async fn permit(&self) -> Result<Permit, End> {
         let mut ticket = self.ticket.clone();
         ticket.label.begun = !self.reply.unsent();
-        self.pool.enter(ticket).await.map_err(End::Fault)
+        let shared = self.request.shared_tokens();
+        let prompt = Prompt {
+            shared,
+            own: self.request.prompt.tokens.saturating_sub(shared),
+        };
+        let entered = self.pool.enter_prompt(ticket, prompt).await;
+        entered.map_err(End::Fault)
     }
 
     fn may_send_again(&self, failure: &Failure) -> bool {
--- a/crates/router/src/placement.rs
+++ b/crates/router/src/placement.rs
@@ -1,5 +1,8 @@
 //! The choice of a backend server for one request.
 
+use std::collections::HashMap;
+use std::time::Duration;
+
 use rand::RngExt;
 use slotmap::SlotMap;
 use tokio::time::Instant;
@@ -14,6 +17,37 @@
 /// Fullness that a server in another data centre is taken to have on top.
 const REMOTE_PENALTY: f64 = 0.25;
 
+/// Prompt tokens that a millisecond without a first token counts for.
+const AGE_TOKENS_PER_MS: f64 = 10.0;
+/// Prompt tokens that a full batch counts for.
+const FULL_TOKENS: f64 = 20_000.0;
+/// Weight of tokens that have to be read again: under load they delay every request behind them.
+const AGAIN_WEIGHT: f64 = 10.0;
+/// Prompt tokens that the way to another data centre is worth.
+const REMOTE_TOKENS: f64 = 400.0;
+/// Prompt tokens that a straggler delays a request by.
+const STRAGGLER_TOKENS: f64 = 60_000.0;
+/// Share of a common beginning that the second server in its order is taken to lack.
+const SECOND_LACKS: f64 = 0.5;
+
+/// The size of a prompt.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Prompt {
+    /// Tokens at its beginning that other requests share.
+    pub shared: u32,
+    /// The other tokens.
+    pub own: u32,
+}
+
+/// What this instance has sent to a server and has no token of yet.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Backlog {
+    /// Prompt tokens that the server has to read.
+    pub tokens: u32,
+    /// How long the first of these requests has been waiting.
+    pub age: Duration,
+}
+
 /// What the choice depends on.
 #[derive(Clone, Copy, Debug)]
 pub struct Wish<'a> {
@@ -129,6 +163,64 @@
     }
 }
 
+/// What is known beside the servers themselves when a prompt is placed.
+#[derive(Clone, Copy, Debug)]
+pub struct View<'a> {
+    /// What waits at each server.
+    pub backlogs: &'a HashMap<ServerId, Backlog>,
+    /// Servers that read the prompt's common beginning a moment ago.
+    pub warm: &'a [ServerId],
+}
+
+/// Chooses a server for a prompt: the one where it is read soonest, counted in tokens to be read before
+/// its end. A common beginning has one home among the open servers, the same for every instance, so that
+/// it is read once; what the home can't take goes to the second in the order.
+#[must_use]
+pub fn choose_for_prompt(
+    servers: &SlotMap<ServerId, Server>,
+    wish: &Wish<'_>,
+    prompt: Prompt,
+    view: &View<'_>,
+    now: Instant,
+) -> Choice {
+    let mut order: Vec<(u64, ServerId)> = servers
+        .iter()
+        .filter(|(_, s)| s.open(now))
+        .map(|(id, s)| (rendezvous(wish.prefix, s.name()), id))
+        .collect();
+    order.sort_unstable_by(|a, b| b.cmp(a));
+    let roomy = order
+        .iter()
+        .enumerate()
+        .filter(|(_, (_, id))| has_room(&servers[*id], wish, now) && !wish.avoid.contains(id));
+    let costs = roomy.map(|(rank, (_, id))| {
+        let lacks = match rank {
+            _ if view.warm.contains(id) => 0.0,
+            0 => 0.0,
+            1 => SECOND_LACKS,
+            _ => 1.0,
+        };
+        let backlog = view.backlogs.get(id).copied().unwrap_or_default();
+        let again = f64::from(prompt.shared) * lacks * AGAIN_WEIGHT;
+        (again + delay(&servers[*id], backlog, now), *id)
+    });
+    let best = costs.min_by(|a, b| a.0.total_cmp(&b.0));
+    best.map_or(Choice::Full, |(_, id)| Choice::Server(id))
+}
+
+/// Tokens that a server reads before it comes to another request.
+fn delay(server: &Server, backlog: Backlog, now: Instant) -> f64 {
+    let waiting = f64::from(backlog.tokens);
+    let stuck = backlog.age.as_secs_f64() * 1_000.0 * AGE_TOKENS_PER_MS;
+    let remote = if server.local { 0.0 } else { REMOTE_TOKENS };
+    let slow = if server.straggling() {
+        STRAGGLER_TOKENS
+    } else {
+        0.0
+    };
+    waiting.max(stuck) + server.fullness(now) * FULL_TOKENS + remote + slow
+}
+
 /// The weight of `member` for `key` under rendezvous hashing.
 #[must_use]
 pub fn rendezvous(key: u64, member: &str) -> u64 {
--- a/crates/router/src/pool.rs
+++ b/crates/router/src/pool.rs
@@ -19,7 +19,7 @@
 use crate::frame::FloorKind;
 use crate::metrics::Metrics;
 use crate::object::{BackendServer, Level};
-use crate::placement::Choice;
+use crate::placement::{Choice, Prompt};
 use crate::pressure::Pressure;
 use crate::queue::{EntryId, Label, Queue, Taken};
 use crate::server::{Report, Server};
@@ -169,6 +169,7 @@
             classes: HashMap::new(),
             pressure: Pressure::default(),
             retries: RETRY_START,
+            warm: HashMap::new(),
             ticked: Instant::now(),
             quiet_until: Instant::now(),
             rng: SmallRng::seed_from_u64(seed),
@@ -223,7 +224,19 @@
     /// # Errors
     /// `overloaded` when the request gives way, `deadline_exceeded` or `no_backend_server` when its
     /// time is over.
-    pub async fn enter(self: &Arc<Self>, mut ticket: Ticket) -> Result<Permit, Fault> {
+    pub async fn enter(self: &Arc<Self>, ticket: Ticket) -> Result<Permit, Fault> {
+        self.enter_prompt(ticket, Prompt::default()).await
+    }
+
+    /// Waits for the server that reads `prompt` soonest.
+    ///
+    /// # Errors
+    /// As for `enter`.
+    pub async fn enter_prompt(
+        self: &Arc<Self>,
+        mut ticket: Ticket,
+        prompt: Prompt,
+    ) -> Result<Permit, Fault> {
         let now = Instant::now();
         let (reply, answer) = oneshot::channel();
         let id = {
@@ -235,7 +248,15 @@
             }
             state.progress(&ticket.label.class, now);
             let label = ticket.label.clone();
-            state.queue.push(label, now, Waiter { ticket, reply })
+            state.queue.push(
+                label,
+                now,
+                Waiter {
+                    ticket,
+                    prompt,
+                    reply,
+                },
+            )
         };
         let waiting = Waiting { pool: self, id };
         self.pump();
@@ -251,7 +272,14 @@
     pub fn rejoin(self: &Arc<Self>, server: &str, ticket: &Ticket) -> Option<Permit> {
         let mut state = self.lock();
         let (id, _) = state.servers.iter().find(|(_, s)| s.name() == server)?;
-        Some(self.grant(&mut state, id, ticket, false, Instant::now()))
+        Some(self.grant(
+            &mut state,
+            id,
+            ticket,
+            Prompt::default(),
+            false,
+            Instant::now(),
+        ))
     }
 
     /// Pays for one retry, or tells that there have been too many.
@@ -362,6 +390,7 @@
             let preempted = state.preempt(now);
             self.metrics.add("preempted", preempted);
             state.judge();
+            state.cool(now);
             replies
         };
         answer(replies);
@@ -392,7 +421,8 @@
     ) {
         if let Some(taken) = state.queue.take(entry) {
             state.progressed(&taken.label.class, now);
-            let permit = self.grant(state, server, &taken.item.ticket, guard, now);
+            let (ticket, prompt) = (&taken.item.ticket, taken.item.prompt);
+            let permit = self.grant(state, server, ticket, prompt, guard, now);
             replies.push((taken.item.reply, Ok(permit)));
         }
     }
@@ -402,16 +432,19 @@
         state: &mut State,
         server: ServerId,
         ticket: &Ticket,
+        prompt: Prompt,
         guard: bool,
         now: Instant,
     ) -> Permit {
         let (order, receiver) = watch::channel(Order::Run);
         let level = ticket.label.level;
+        let unread = state.unread(server, ticket.prefix, prompt, now);
         let grant = state.grants.insert(Grant {
             server,
             label: ticket.label.clone(),
             first_token: ticket.first_token,
             targeted: ticket.targeted,
+            unread,
             guard,
             sent: now,
             stage: Stage::Unstarted,
@@ -435,8 +468,8 @@
             let Some(waiter) = state.queue.item(entry) else {
                 continue;
             };
-            let ticket = waiter.ticket.clone();
-            let choice = state.choose(&ticket, 0, true, self.limits.unstarted, now);
+            let (ticket, prompt) = (waiter.ticket.clone(), waiter.prompt);
+            let choice = state.choose(&ticket, prompt, 0, true, self.limits.unstarted, now);
             if let Choice::Server(server) = choice {
                 self.metrics.count("guard.granted");
                 self.send(state, entry, server, true, now, replies);
--- a/crates/router/src/pool/state.rs
+++ b/crates/router/src/pool/state.rs
@@ -12,7 +12,7 @@
 use super::{GrantId, Order, Permit, Preemption, ServerId, Ticket};
 use crate::error::{Fault, Kind};
 use crate::object::Level;
-use crate::placement::{self, Choice, Wish};
+use crate::placement::{self, Backlog, Choice, Prompt, View, Wish};
 use crate::pressure::Pressure;
 use crate::queue::{EntryId, Label, Queue};
 use crate::server::Server;
@@ -25,12 +25,15 @@
 const COST_START: f64 = 64.0;
 /// Time after a pause in which no server's speed is measured.
 const QUIET: Duration = Duration::from_millis(500);
+/// Time for which an engine is taken to have a common beginning that it read.
+const WARM: Duration = Duration::from_secs(20);
 /// Time between two ticks from which this instance is taken to have stood still.
 const PAUSE: Duration = Duration::from_millis(250);
 
 #[derive(Debug)]
 pub(super) struct Waiter {
     pub(super) ticket: Ticket,
+    pub(super) prompt: Prompt,
     pub(super) reply: oneshot::Sender<Result<Permit, Fault>>,
 }
 
@@ -51,6 +54,8 @@
     pub(super) label: Label,
     pub(super) first_token: Option<Duration>,
     pub(super) targeted: bool,
+    /// Prompt tokens that the server had to read for it.
+    pub(super) unread: u32,
     pub(super) guard: bool,
     pub(super) sent: Instant,
     pub(super) stage: Stage,
@@ -78,6 +83,8 @@
     pub(super) grants: SlotMap<GrantId, Grant>,
     pub(super) classes: HashMap<SmolStr, ClassStat>,
     pub(super) pressure: Pressure,
+    /// When a server last read the common beginning of some prompts.
+    pub(super) warm: HashMap<u64, Vec<(ServerId, Instant)>>,
     pub(super) retries: f64,
     pub(super) ticked: Instant,
     pub(super) quiet_until: Instant,
@@ -90,8 +97,9 @@
         let hold = self.pressure.startable();
         for level in levels.into_iter().filter(|level| *level <= hold) {
             let entry = self.queue.head(level)?;
-            let ticket = self.queue.item(entry)?.ticket.clone();
-            match self.choose(&ticket, level, false, unstarted, now) {
+            let waiter = self.queue.item(entry)?;
+            let (ticket, prompt) = (waiter.ticket.clone(), waiter.prompt);
+            match self.choose(&ticket, prompt, level, false, unstarted, now) {
                 Choice::Server(server) => return Some((entry, server)),
                 Choice::Straggler => {}
                 Choice::Full => return None,
@@ -103,6 +111,7 @@
     pub(super) fn choose(
         &mut self,
         ticket: &Ticket,
+        prompt: Prompt,
         level: Level,
         guard: bool,
         unstarted: u32,
@@ -117,17 +126,77 @@
             prefer: ticket.prefer,
             unstarted,
         };
-        let choice = placement::choose(&self.servers, &wish, now, &mut self.rng);
+        let choice = self.place(&wish, prompt, now);
         // A request that failed everywhere may go back to where it failed.
         match choice {
             Choice::Full if !ticket.avoid.is_empty() => {
                 let wish = Wish { avoid: &[], ..wish };
-                placement::choose(&self.servers, &wish, now, &mut self.rng)
+                self.place(&wish, prompt, now)
             }
             choice => choice,
         }
     }
 
+    fn place(&mut self, wish: &Wish<'_>, prompt: Prompt, now: Instant) -> Choice {
+        if prompt == Prompt::default() {
+            return placement::choose(&self.servers, wish, now, &mut self.rng);
+        }
+        let backlogs = self.backlogs(now);
+        let warm = self.warm_servers(wish.prefix);
+        let view = View {
+            backlogs: &backlogs,
+            warm: &warm,
+        };
+        placement::choose_for_prompt(&self.servers, wish, prompt, &view, now)
+    }
+
+    /// What was sent to each server and has no token yet.
+    fn backlogs(&self, now: Instant) -> HashMap<ServerId, Backlog> {
+        let mut backlogs: HashMap<ServerId, Backlog> = HashMap::new();
+        let unstarted = self.grants.values().filter(|g| g.stage != Stage::Started);
+        for grant in unstarted {
+            let backlog = backlogs.entry(grant.server).or_default();
+            backlog.tokens = backlog.tokens.saturating_add(grant.unread);
+            let age = now.saturating_duration_since(grant.sent);
+            backlog.age = backlog.age.max(age);
+        }
+        backlogs
+    }
+
+    fn warm_servers(&self, prefix: u64) -> Vec<ServerId> {
+        let warm = self.warm.get(&prefix).into_iter().flatten();
+        warm.map(|(id, _)| *id).collect()
+    }
+
+    /// Prompt tokens that a server has to read for a request that is sent to it now.
+    pub(super) fn unread(
+        &mut self,
+        server: ServerId,
+        prefix: u64,
+        prompt: Prompt,
+        now: Instant,
+    ) -> u32 {
+        if prefix == 0 {
+            return prompt.shared + prompt.own;
+        }
+        let warm = self.warm.entry(prefix).or_default();
+        let known = warm.iter().position(|(id, _)| *id == server);
+        match known {
+            Some(position) => warm[position].1 = now,
+            None => warm.push((server, now)),
+        }
+        let shared = if known.is_some() { 0 } else { prompt.shared };
+        shared + prompt.own
+    }
+
+    /// Forgets what servers read too long ago to have it still.
+    pub(super) fn cool(&mut self, now: Instant) {
+        self.warm.retain(|_, servers| {
+            servers.retain(|(_, at)| now.saturating_duration_since(*at) < WARM);
+            !servers.is_empty()
+        });
+    }
+
     /// The oldest request of each class whose wait without progress nears its bound.
     pub(super) fn starving(&self, now: Instant) -> Vec<EntryId> {
         let due = self.classes.iter().filter(|(class, stat)| {
--- a/crates/router/tests/http1_head.rs
+++ b/crates/router/tests/http1_head.rs
@@ -1,6 +1,9 @@
 //! Heads and bodies of callers' requests: nothing that two readers could understand differently gets by.
 
-#![expect(clippy::needless_pass_by_value, reason = "properties take their cases by value")]
+#![expect(
+    clippy::needless_pass_by_value,
+    reason = "properties take their cases by value"
+)]
 
 #[path = "common/property.rs"]
 mod property;
--- a/crates/router/tests/routes.rs
+++ b/crates/router/tests/routes.rs
@@ -1,6 +1,9 @@
 //! Routes by host and longest prefix, and the split between services.
 
-#![expect(clippy::needless_pass_by_value, reason = "properties take their cases by value")]
+#![expect(
+    clippy::needless_pass_by_value,
+    reason = "properties take their cases by value"
+)]
 
 #[path = "common/property.rs"]
 mod property;
