Move a request on that its server passes over, and a stream that stalls

Ruled out: the server's load (later requests of the same rank ended in 0.4 s). Change: past its target a request that may be sent again goes elsewhere if its server has started a later one that isn't more important; a resumable stream that pauses for three times its good pause (1 s at least) goes on elsewhere. A server that is only slow keeps its requests.

--- a/crates/router/src/forward/attempt.rs
+++ b/crates/router/src/forward/attempt.rs
@@ -29,6 +29,8 @@
     Foreign,
     /// The answer broke off.
     Broken,
+    /// The backend server went on with others and left this one waiting.
+    Stalled,
     /// The backend server ran it and failed.
     Failed,
 }
@@ -44,6 +46,7 @@
             Self::NoAnswer => "no_answer",
             Self::Foreign => "foreign",
             Self::Broken => "broken",
+            Self::Stalled => "stalled",
             Self::Failed => "failed",
         }
     }
--- a/crates/router/src/forward/job.rs
+++ b/crates/router/src/forward/job.rs
@@ -27,6 +27,12 @@
 const WHOLE_BYTES: usize = 256 << 10;
 /// Sendings that may fail before a byte has left.
 const UNSENT_TRIES: u32 = 4;
+/// Time between two looks at a request that has waited past its target.
+const LOOK: Duration = Duration::from_millis(150);
+/// Pauses of the route's longest good length after which a stream counts as stalled.
+const STALL_GAPS: u32 = 3;
+/// Shortest pause that counts as a stall.
+const STALL_MIN: Duration = Duration::from_secs(1);
 /// Time without progress after which a route's requests get a place out of turn.
 const STARVATION: Duration = Duration::from_secs(4);
 /// Shortest advice on when to come back.
@@ -269,7 +275,10 @@
         );
         // Until an answer says otherwise, a request on its way may run.
         let ran_before = std::mem::replace(&mut self.may_have_run, true);
-        let answer = sent.await;
+        let answer = tokio::select! {
+            answer = sent => answer,
+            () = overtaken(self.request, permit) => Err(Failure::Stalled),
+        };
         if !matches!(&answer, Err(failure) if !failure.surely_not_run()) {
             self.may_have_run = ran_before || answer.is_ok();
         }
@@ -345,7 +354,13 @@
         let mut cutter = Cutter::default();
         let mut events = 0;
         loop {
-            let bytes = match answer.bytes().await {
+            let next = tokio::select! {
+                next = answer.bytes() => next,
+                () = stalled(self.request, permit, events > 0) => {
+                    return Ok(Step::Failed(Failure::Stalled));
+                }
+            };
+            let bytes = match next {
                 Ok(Some(bytes)) => bytes,
                 Ok(None) if cutter.is_empty() => break,
                 Ok(None) | Err(_) => return Ok(Step::Failed(Failure::Broken)),
@@ -384,6 +399,30 @@
     }
 }
 
+/// Waits until a request that may be sent again has missed its target at a server that goes on with later
+/// ones. A server that is only slow keeps its requests: sending them again would add to the load.
+async fn overtaken(request: &Request, permit: &Permit) {
+    if !request.route.kind.repeatable() {
+        return std::future::pending().await;
+    }
+    time::sleep(request.route.target).await;
+    while !permit.overtaken() {
+        time::sleep(LOOK).await;
+    }
+}
+
+/// Waits until a stream that can go on elsewhere has paused for too long.
+async fn stalled(request: &Request, permit: &Permit, started: bool) {
+    if !started {
+        return overtaken(request, permit).await;
+    }
+    if !request.route.kind.repeatable() {
+        return std::future::pending().await;
+    }
+    let gap = request.route.gap.unwrap_or_default() * STALL_GAPS;
+    time::sleep(gap.max(STALL_MIN)).await;
+}
+
 fn ticket(request: &Request) -> Ticket {
     let route = &request.route;
     let bytes = request.body.len() + request.target.len();
--- a/crates/router/src/pool.rs
+++ b/crates/router/src/pool.rs
@@ -541,6 +541,7 @@
             grant.stage = Stage::Started;
             if let Some(server) = servers.get_mut(grant.server) {
                 server.started(grant.label.level);
+                server.begun(grant.label.level, grant.sent);
                 if *preemption == Preemption::Here && grant.can_yield() {
                     server.yields(grant.label.level, true);
                 }
@@ -599,6 +600,18 @@
         self.pool.started(self.grant);
     }
 
+    /// Whether the server has started a request that was sent after this one and isn't more important:
+    /// it doesn't get to this one for another reason than its load.
+    #[must_use]
+    pub fn overtaken(&self) -> bool {
+        let state = self.pool.lock();
+        let grant = state.grants.get(self.grant);
+        grant.is_some_and(|g| {
+            let server = state.servers.get(g.server);
+            server.is_some_and(|s| s.overtakes(g.label.level, g.sent))
+        })
+    }
+
     /// Takes in the server's load, as it told along with an answer.
     pub fn heard(&self, report: Report) {
         self.pool.heard(self.server, report);
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -64,6 +64,8 @@
     in_flight: u32,
     yielding: [u32; LEVELS],
     unstarted: [u32; LEVELS],
+    /// When the newest request that has started was sent, by level.
+    begun: [Option<Instant>; LEVELS],
     heard: Option<Heard>,
     gap_ms: f64,
     gap_samples: u32,
@@ -83,6 +85,7 @@
             in_flight: 0,
             yielding: [0; LEVELS],
             unstarted: [0; LEVELS],
+            begun: [None; LEVELS],
             heard: None,
             gap_ms: 0.0,
             gap_samples: 0,
@@ -177,6 +180,19 @@
         self.unstarted[slot(level)] += 1;
     }
 
+    /// Notes that a request of `level`, sent at `sent`, has started.
+    pub fn begun(&mut self, level: Level, sent: Instant) {
+        let newest = &mut self.begun[slot(level)];
+        *newest = (*newest).max(Some(sent));
+    }
+
+    /// Whether a request that isn't more important, and was sent after `sent`, has started.
+    #[must_use]
+    pub fn overtakes(&self, level: Level, sent: Instant) -> bool {
+        let later = self.begun[slot(level)..].iter().flatten();
+        later.copied().any(|other| other > sent)
+    }
+
     /// Counts the first token of a request.
     pub fn started(&mut self, level: Level) {
         let n = &mut self.unstarted[slot(level)];
