Write structured lines without blocking, and serve metrics; read settings again

Cause: an engineer had to read debug output of outcomes, and a request whose caller left wrote no line. The settings file is read again on SIGHUP and when it changes by itself; one that can't be used leaves the old one in force. Ruled out: env_logger's own target, which blocks on a full pipe; sampling of failures.

--- a/crates/jackdawtallyd/src/main.rs
+++ b/crates/jackdawtallyd/src/main.rs
@@ -3,14 +3,19 @@
 use std::error::Error;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use argh::FromArgs;
 use jackdawtally::daemon::Daemon;
+use jackdawtally::logs;
 use jackdawtally::settings::Settings;
 use jackdawtally_platform::front::Front;
+use jackdawtally_platform::reload::Reloader;
 use jackdawtally_platform::settings as platform;
 use tokio::signal::unix::{SignalKind, signal};
 
+/// Time between two looks at the platform's settings file, which may change without a signal.
+const SETTINGS_LOOK: Duration = Duration::from_secs(2);
 /// Exit status for settings that can't be used.
 const BAD_SETTINGS: u8 = 2;
 /// Exit status for a listener that can't be opened.
@@ -42,6 +47,9 @@
     /// the platform's settings file; by default the one that its variable names
     #[argh(option)]
     settings: Option<PathBuf>,
+    /// port of the metrics page
+    #[argh(option)]
+    metrics: Option<u16>,
     /// only check the settings
     #[argh(switch)]
     check: bool,
@@ -50,7 +58,13 @@
 /// What to run, with its settings.
 enum Role {
     Instance(Box<Settings>),
-    Front(Box<platform::Settings>),
+    Front(Box<FrontRole>),
+}
+
+struct FrontRole {
+    path: PathBuf,
+    settings: platform::Settings,
+    metrics: Option<u16>,
 }
 
 fn main() -> ExitCode {
@@ -66,7 +80,6 @@
         println!("{}: valid", path.display());
         return ExitCode::SUCCESS;
     }
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
     match run(role) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
@@ -81,7 +94,12 @@
         (Some(Command::Front(front)), None) => {
             let path = front.settings.unwrap_or_else(platform::Settings::path);
             let settings = platform::Settings::read(&path)?;
-            Ok((path, front.check, Role::Front(Box::new(settings))))
+            let role = FrontRole {
+                path: path.clone(),
+                settings,
+                metrics: front.metrics,
+            };
+            Ok((path, front.check, Role::Front(Box::new(role))))
         }
         (None, Some(path)) => {
             let settings = Settings::read(&path)?;
@@ -94,11 +112,14 @@
 fn run(role: Role) -> Result<(), Box<dyn Error>> {
     match role {
         Role::Instance(settings) => {
+            let environment = env_logger::Env::default().default_filter_or("info");
+            env_logger::Builder::from_env(environment).init();
             tokio::runtime::Runtime::new()?.block_on(run_instance(*settings))
         }
-        Role::Front(settings) => {
+        Role::Front(front) => {
+            logs::install();
             let mut runtime = tokio::runtime::Builder::new_current_thread();
-            runtime.enable_all().build()?.block_on(run_front(&settings))
+            runtime.enable_all().build()?.block_on(run_front(*front))
         }
     }
 }
@@ -121,16 +142,22 @@
     Ok(())
 }
 
-async fn run_front(settings: &platform::Settings) -> Result<(), Box<dyn Error>> {
+async fn run_front(role: FrontRole) -> Result<(), Box<dyn Error>> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
-    let mut reload = signal(SignalKind::hangup())?;
-    let front = Front::start(settings).await?;
+    let mut hangup = signal(SignalKind::hangup())?;
+    let mut look = tokio::time::interval(SETTINGS_LOOK);
+    let front = Front::start(&role.settings, role.metrics).await?;
+    let mut reloader = Reloader::new(role.path, role.settings);
     loop {
-        tokio::select! {
+        let asked = tokio::select! {
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
-            _ = reload.recv() => log::info!("settings=reload"),
+            _ = hangup.recv() => true,
+            _ = look.tick() => false,
+        };
+        if let Some(settings) = reloader.read(asked) {
+            front.reload(&settings);
         }
     }
     front.leave().await;
--- a/crates/router/src/forward/attempt.rs
+++ b/crates/router/src/forward/attempt.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use http_body_util::Full;
-use smol_str::SmolStr;
 use tokio::time::Instant;
 
 use super::channel::{self, Answer, Channels};
@@ -58,15 +57,6 @@
     }
 }
 
-/// A sending, for the log.
-#[derive(Clone, Debug)]
-pub struct Record {
-    /// The backend server.
-    pub server: SmolStr,
-    /// How it failed; none where it didn't.
-    pub failure: Option<Failure>,
-}
-
 /// Sends `request` to the permit's server and waits for the head of an answer that belongs to it.
 ///
 /// # Errors
--- a/crates/router/src/forward/job.rs
+++ b/crates/router/src/forward/job.rs
@@ -9,12 +9,13 @@
 use http::{HeaderMap, StatusCode};
 use tokio::time::{self, Instant};
 
-use super::attempt::{self, Failure, Record};
+use super::attempt::{self, Failure};
 use super::budget::{Budget, Terms};
 use super::channel::{Answer, Channels};
 use super::dialect::Dialect;
 use super::request::{EventId, Request};
 use super::route::{Kind as Repeat, ServiceName};
+use super::trace::{Outcome, Trace};
 use crate::error::{Fault, Kind};
 use crate::http1::{Gone, Reply};
 use crate::node::Node;
@@ -73,19 +74,6 @@
     }
 }
 
-/// How a request ended.
-#[derive(Clone, Debug)]
-pub enum Outcome {
-    /// A backend server's answer was passed on whole, with this status.
-    Answered(StatusCode),
-    /// The caller was told of this fault.
-    Refused(Fault),
-    /// The answer had begun and could not be completed; the connection is broken.
-    Cut(Fault),
-    /// The caller left.
-    CallerGone,
-}
-
 /// Why a request didn't get its answer.
 enum End {
     Gone,
@@ -123,8 +111,7 @@
     sendings: u32,
     after: Option<EventId>,
     spare: Option<Whole>,
-    /// The sendings, for the log.
-    pub records: Vec<Record>,
+    trace: Trace<'a>,
 }
 
 impl<'a, 'r, D: Dialect> Job<'a, 'r, D> {
@@ -135,6 +122,7 @@
         service: &'a ServiceName,
         request: &'a Request,
         reply: &'a mut Reply<'r>,
+        trace: Trace<'a>,
     ) -> Self {
         Self {
             ticket: ticket(request),
@@ -147,12 +135,18 @@
             may_have_run: false,
             sendings: 0,
             spare: None,
-            records: Vec::new(),
+            trace,
         }
     }
 
     /// Answers the request.
-    pub async fn run(&mut self) -> Outcome {
+    pub async fn run(mut self) -> Outcome {
+        let outcome = self.answer().await;
+        self.trace.outcome = outcome.clone();
+        outcome
+    }
+
+    async fn answer(&mut self) -> Outcome {
         let now = Instant::now();
         self.core
             .budget(self.service, |b| b.earn(&self.core.terms, now));
@@ -195,15 +189,12 @@
         let mut unsent = 0;
         loop {
             let permit = self.permit().await?;
+            self.trace.sending(&permit.declared.name);
             let step = self.send(&permit).await?;
             let failure = match step {
-                Step::Done(status) => {
-                    self.record(&permit, None);
-                    return Ok(status);
-                }
+                Step::Done(status) => return Ok(status),
                 Step::Failed(failure) => failure,
             };
-            self.record(&permit, Some(failure.clone()));
             self.ticket.avoid.push(permit.server);
             drop(permit);
             if failure == Failure::NotSent {
@@ -213,20 +204,15 @@
             }
             self.may_have_run |= !failure.surely_not_run();
             let allowed = unsent < UNSENT_TRIES && self.may_send_again(&failure);
+            let ran = self.may_have_run;
+            self.trace.failed(failure.clone(), ran, allowed);
             if !allowed {
                 return Err(End::Fault(self.fault(&failure)));
             }
         }
     }
 
-    fn record(&mut self, permit: &Permit, failure: Option<Failure>) {
-        self.records.push(Record {
-            server: permit.declared.name.clone(),
-            failure,
-        });
-    }
-
-    async fn permit(&self) -> Result<Permit, End> {
+    async fn permit(&mut self) -> Result<Permit, End> {
         let mut ticket = self.ticket.clone();
         ticket.label.begun = !self.reply.unsent();
         let shared = self.request.shared_tokens();
@@ -234,7 +220,9 @@
             shared,
             own: self.request.prompt.tokens.saturating_sub(shared),
         };
+        let since = Instant::now();
         let entered = self.pool.enter_prompt(ticket, prompt).await;
+        self.trace.waited(since);
         entered.map_err(End::Fault)
     }
 
--- a/crates/router/src/forward/mod.rs
+++ b/crates/router/src/forward/mod.rs
@@ -13,3 +13,4 @@
 pub mod job;
 pub mod request;
 pub mod route;
+pub mod trace;
