--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -87,10 +87,11 @@
             "waited_ms",
             "retry_after_ms",
             "attempts",
+            "events",
             "after",
             "rate",
         ],
-        meaning: "a request ended: `answered`, `refused`, `cut` or `caller_gone`; `attempts` lists each server with what became of the sending; `rate=N` stands for N such lines",
+        meaning: "a request ended: `answered`, `refused`, `cut` or `caller_gone`; `attempts` lists each server with what became of the sending, `events` says how many came and how long ago the last; `rate=N` stands for N such lines",
     },
 ];
 
--- a/crates/router/src/explain.rs
+++ b/crates/router/src/explain.rs
@@ -93,8 +93,12 @@
             "" => String::new(),
             cause => format!("; cause: {cause}"),
         };
+        let events = match end.get("events").split_once("@-") {
+            Some((n, ago)) => format!("; events passed on {n} times, last {ago} before"),
+            None => String::new(),
+        };
         Some(format!(
-            "{told} after {} ms, {} ms of them waiting for a server{cause}{ran}; {}",
+            "{told} after {} ms, {} ms of them waiting for a server{cause}{ran}{events}; {}",
             end.get("took_ms"),
             end.get("waited_ms"),
             sendings(end.get("attempts"))
--- a/crates/router/src/forward/job.rs
+++ b/crates/router/src/forward/job.rs
@@ -201,8 +201,7 @@
             }
             self.may_have_run |= !failure.surely_not_run();
             let allowed = unsent < UNSENT_TRIES && self.may_send_again(&failure);
-            let ran = self.may_have_run;
-            self.trace.failed(failure.clone(), ran, allowed);
+            self.trace.failed(failure.clone(), allowed);
             if !allowed {
                 return Err(End::Fault(self.fault(&failure)));
             }
@@ -359,6 +358,7 @@
                 permit.started();
             }
             events += 1;
+            self.trace.passed();
             self.pass(&answer, status, &batch.bytes).await?;
             self.after = batch.last.or(self.after);
         }
--- a/crates/router/src/forward/trace.rs
+++ b/crates/router/src/forward/trace.rs
@@ -55,7 +55,8 @@
     config: Version,
     waited: Duration,
     attempts: Vec<Attempt>,
-    may_have_run: bool,
+    events: u64,
+    last_event: Option<Instant>,
     /// How it ended; a request that is dropped before that has lost its caller.
     pub outcome: Outcome,
 }
@@ -69,7 +70,8 @@
             config,
             waited: Duration::ZERO,
             attempts: Vec::new(),
-            may_have_run: false,
+            events: 0,
+            last_event: None,
             outcome: Outcome::CallerGone,
         }
     }
@@ -88,9 +90,14 @@
         });
     }
 
+    /// Notes that events were passed on.
+    pub fn passed(&mut self) {
+        self.events += 1;
+        self.last_event = Some(Instant::now());
+    }
+
     /// Notes that the last sending failed, and whether another may follow.
-    pub fn failed(&mut self, failure: Failure, may_have_run: bool, allowed: bool) {
-        self.may_have_run = may_have_run;
+    pub fn failed(&mut self, failure: Failure, allowed: bool) {
         let left = self
             .request
             .until()
@@ -137,6 +144,9 @@
         let cause = fault.map(|f| format!("{}: {}", f.kind.answer().name, f.message));
         let retry = fault.and_then(|f| f.retry_after).map(|d| d.as_millis());
         let request = self.request;
+        let events = self
+            .last_event
+            .map(|at| format!("{}@-{}ms", self.events, at.elapsed().as_millis()));
         Line::new("request.end")
             .field("id", &request.id)
             .field("route", &request.route.name)
@@ -151,6 +161,7 @@
             .field("waited_ms", self.waited.as_millis())
             .maybe("retry_after_ms", retry)
             .field("attempts", self.attempts())
+            .maybe("events", events)
             .maybe("after", request.after)
             .maybe("rate", (rate > 1).then_some(rate))
     }
