Bound the memory of callers' bodies

Cause: 3,300 connections may each send a body of 4 MB: 13 GB on a machine of 260 MB. Tests: a length, chunks, and a body that fits.

--- a/crates/router/src/http1/chunked.rs
+++ b/crates/router/src/http1/chunked.rs
@@ -38,6 +38,11 @@
         }
     }
 
+    /// Bytes of the body so far.
+    pub fn len(&self) -> usize {
+        self.body.len()
+    }
+
     /// Takes what it can from `bytes`; gives the body once it is complete.
     ///
     /// # Errors
--- a/crates/router/src/http1/connection.rs
+++ b/crates/router/src/http1/connection.rs
@@ -10,6 +10,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{ReadHalf, WriteHalf};
+use tokio::sync::{Semaphore, SemaphorePermit};
 use tokio::time::{self, Instant};
 
 use super::chunked::Decoder;
@@ -21,6 +22,10 @@
 const BUFFER: usize = 4 << 10;
 /// Time that a caller may stop reading its answer before it counts as gone.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(15);
+/// Bytes of a body that need no room of their own: a connection's buffers hold them anyway.
+const FREE_BYTES: usize = 16 << 10;
+/// Bytes that one permit for a body stands for.
+const PERMIT_BYTES: usize = 1 << 10;
 /// Time for a caller to read an answer that ends its connection.
 const LINGER: Duration = Duration::from_millis(500);
 
@@ -74,6 +79,9 @@
     /// How far the process is towards its end.
     fn phase(&self) -> Phase;
 
+    /// The room for bodies of all connections together, a permit for each KiB.
+    fn room(&self) -> &Semaphore;
+
     /// Waits until idle connections are to end.
     fn closing(&self) -> impl Future<Output = ()> + Send;
 
@@ -91,6 +99,9 @@
         reply: &mut Reply<'_>,
     ) -> impl Future<Output = Result<(), Gone>> + Send;
 
+    /// Answers a request for whose body there is no room.
+    fn no_room(&self, reply: &mut Reply<'_>) -> impl Future<Output = Result<(), Gone>> + Send;
+
     /// Answers a request that wasn't sent in time.
     fn too_slow(&self, reply: &mut Reply<'_>) -> impl Future<Output = Result<(), Gone>> + Send;
 }
@@ -100,9 +111,43 @@
     /// The connection ended between two requests, or broke.
     Closed,
     Malformed(Malformed),
+    NoRoom,
     TooSlow,
 }
 
+/// The room that one body takes, given back when dropped.
+struct Room<'a> {
+    all: &'a Semaphore,
+    taken: Vec<SemaphorePermit<'a>>,
+    bytes: usize,
+}
+
+impl<'a> Room<'a> {
+    const fn new(all: &'a Semaphore) -> Self {
+        Self {
+            all,
+            taken: Vec::new(),
+            bytes: FREE_BYTES,
+        }
+    }
+
+    /// Takes room for a body of `bytes` so far, or tells that there is none.
+    fn grow(&mut self, bytes: usize) -> Result<(), End> {
+        if bytes <= self.bytes {
+            return Ok(());
+        }
+        let permits = (bytes - self.bytes).div_ceil(PERMIT_BYTES);
+        let permits = u32::try_from(permits).map_err(|_| End::NoRoom)?;
+        let permit = self
+            .all
+            .try_acquire_many(permits)
+            .map_err(|_| End::NoRoom)?;
+        self.taken.push(permit);
+        self.bytes = bytes;
+        Ok(())
+    }
+}
+
 impl From<Malformed> for End {
     fn from(reason: Malformed) -> Self {
         Self::Malformed(reason)
@@ -129,6 +174,10 @@
                 reply.close = true;
                 break handler.reject(reason, &mut reply).await.is_ok();
             }
+            Err(End::NoRoom) => {
+                reply.close = true;
+                break handler.no_room(&mut reply).await.is_ok();
+            }
             Err(End::TooSlow) => {
                 reply.close = true;
                 break handler.too_slow(&mut reply).await.is_ok();
@@ -154,8 +203,10 @@
     if head.expects_continue {
         reply.proceed().await.map_err(|Gone| End::Closed)?;
     }
-    let body = time::timeout(limits.body_timeout, read_body(&head, read, buffer, &limits));
-    let body = body.await.unwrap_or(Err(End::TooSlow))?;
+    let mut room = Room::new(handler.room());
+    let body = read_body(&head, read, buffer, &limits, &mut room);
+    let body = time::timeout(limits.body_timeout, body).await;
+    let body = body.unwrap_or(Err(End::TooSlow))?;
     let request = Request {
         head,
         body,
@@ -204,6 +255,7 @@
     read: &mut ReadHalf<'_>,
     buffer: &mut BytesMut,
     limits: &Limits,
+    room: &mut Room<'_>,
 ) -> Result<Bytes, End> {
     match head.framing {
         Framing::Length(length) => {
@@ -211,6 +263,7 @@
             if length > limits.body_bytes {
                 return Err(Malformed::BodyTooLarge.into());
             }
+            room.grow(length)?;
             while buffer.len() < length {
                 more(read, buffer).await?;
             }
@@ -222,6 +275,7 @@
                 if let Some(body) = decoder.feed(buffer)? {
                     return Ok(body);
                 }
+                room.grow(decoder.len().next_multiple_of(FREE_BYTES))?;
                 more(read, buffer).await?;
             }
         }
--- a/crates/router/tests/http1_connection.rs
+++ b/crates/router/tests/http1_connection.rs
@@ -9,7 +9,7 @@
 use jackdawtally::http1::{self, Gone, Handler, Limits, Malformed, Phase, Reply, Request};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, Semaphore, watch};
 
 /// Answers by path; counts what it was asked and what was dropped unanswered.
 struct Echo {
@@ -17,6 +17,7 @@
     dropped: Arc<Notify>,
     phase: watch::Sender<Phase>,
     limits: Limits,
+    room: Semaphore,
 }
 
 /// Tells when a request's future is dropped.
@@ -37,6 +38,10 @@
         *self.phase.borrow()
     }
 
+    fn room(&self) -> &Semaphore {
+        &self.room
+    }
+
     fn closing(&self) -> impl Future<Output = ()> + Send {
         let mut phase = self.phase.subscribe();
         async move {
@@ -74,6 +79,11 @@
         reply.whole(status, &HeaderMap::new(), b"").await
     }
 
+    async fn no_room(&self, reply: &mut Reply<'_>) -> Result<(), Gone> {
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        reply.whole(status, &HeaderMap::new(), b"").await
+    }
+
     async fn too_slow(&self, reply: &mut Reply<'_>) -> Result<(), Gone> {
         let status = StatusCode::REQUEST_TIMEOUT;
         reply.whole(status, &HeaderMap::new(), b"").await
@@ -96,6 +106,7 @@
         dropped: Arc::new(Notify::new()),
         phase: watch::Sender::new(Phase::Serving),
         limits,
+        room: Semaphore::new(64),
     });
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("an address");
@@ -184,6 +195,45 @@
     }
 }
 
+/// Many callers send large bodies at once: what doesn't fit into the room is refused, and the room comes
+/// back with the answer.
+#[tokio::test]
+async fn body_that_finds_no_room_is_refused() {
+    let large = Limits {
+        body_bytes: 1 << 20,
+        ..limits()
+    };
+    let chunks = format!("{:x}\r\n{}\r\n0\r\n\r\n", 100_000, "x".repeat(100_000));
+    let cases = [
+        (
+            post("/a", "content-length: 100000\r\n", &"x".repeat(100_000)),
+            "503",
+        ),
+        (post("/a", "transfer-encoding: chunked\r\n", &chunks), "503"),
+        (
+            post(
+                "/a",
+                "content-length: 50000\r\nconnection: close\r\n",
+                &"x".repeat(50_000),
+            ),
+            "200",
+        ),
+    ];
+
+    for (text, status) in cases {
+        let (echo, mut stream) = start(large).await;
+        // The rest of a refused body may find the connection ended.
+        let _ = stream.write_all(text.as_bytes()).await;
+        let mut answer = vec![0; 12];
+        stream.read_exact(&mut answer).await.expect("an answer");
+        let mut rest = Vec::new();
+        let _ = stream.read_to_end(&mut rest).await;
+
+        assert_eq!(answer, format!("HTTP/1.1 {status}").as_bytes());
+        assert_eq!(echo.room.available_permits(), 64);
+    }
+}
+
 #[tokio::test]
 async fn slow_heads_and_bodies_are_told_so() {
     let cases = [
