Split the pool's permits and the callers' replies from their files; one way to listen

pool.rs and connection.rs each held two jobs; listeners were opened by two copies of one function. Fields of the declarations that nothing reads are gone; beginnings of prompts only count on routes that declare that their requests share them.

--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -19,6 +19,7 @@
 use crate::operators::Service;
 use crate::platform::{Platform, Presence};
 use crate::settings::Settings;
+use crate::socket::{self, ListenError};
 use crate::{callers, link, pools};
 
 /// Instances that keep a watch on the platform's log for all.
@@ -34,15 +35,6 @@
 /// Time for callers and peers to hear that the instance has left.
 const FAREWELL: Duration = Duration::from_millis(300);
 
-/// A listener that can't be opened.
-#[derive(Debug, thiserror::Error)]
-#[error("can't listen on {address} for {role}: {source}")]
-pub struct Error {
-    role: &'static str,
-    address: SocketAddr,
-    source: std::io::Error,
-}
-
 /// Where an instance listens.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Addresses {
@@ -68,14 +60,14 @@
     ///
     /// # Errors
     /// When a listener can't be opened.
-    pub async fn start(settings: Settings) -> Result<Self, Error> {
-        let callers = listen("callers", settings.callers.listen).await?;
-        let operators = listen("operators", settings.operators.listen).await?;
-        let peers = listen("peers", settings.peers.listen).await?;
+    pub async fn start(settings: Settings) -> Result<Self, ListenError> {
+        let callers = socket::listen("callers", settings.callers.listen).await?;
+        let operators = socket::listen("operators", settings.operators.listen).await?;
+        let peers = socket::listen("peers", settings.peers.listen).await?;
         let addresses = Addresses {
-            callers: local("callers", &callers)?,
-            operators: local("operators", &operators)?,
-            peers: local("peers", &peers)?,
+            callers: socket::local("callers", &callers)?,
+            operators: socket::local("operators", &operators)?,
+            peers: socket::local("peers", &peers)?,
         };
         let facts = Facts {
             id: settings.instance.clone(),
@@ -122,22 +114,6 @@
     }
 }
 
-async fn listen(role: &'static str, address: SocketAddr) -> Result<TcpListener, Error> {
-    TcpListener::bind(address).await.map_err(|source| Error {
-        role,
-        address,
-        source,
-    })
-}
-
-fn local(role: &'static str, listener: &TcpListener) -> Result<SocketAddr, Error> {
-    listener.local_addr().map_err(|source| Error {
-        role,
-        address: SocketAddr::from(([0, 0, 0, 0], 0)),
-        source,
-    })
-}
-
 async fn serve_operators(node: Arc<Node>, listener: TcpListener) {
     let service = OperatorsServer::new(Service::new(node));
     let served = tonic::transport::Server::builder()
--- a/crates/router/src/forward/declarations.rs
+++ b/crates/router/src/forward/declarations.rs
@@ -6,7 +6,7 @@
 use smol_str::SmolStr;
 use tokio::sync::watch;
 
-use super::route::{Routes, ServiceName};
+use super::route::Routes;
 use crate::http1::Limits;
 use crate::object::Level;
 
@@ -22,17 +22,6 @@
     pub level: Option<Level>,
 }
 
-/// What is declared of the backend servers of one service.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Service {
-    /// The service's name.
-    pub name: ServiceName,
-    /// Connections that one of its backend servers accepts from all instances together.
-    pub connections: u32,
-    /// Whether its backend servers are engines.
-    pub engine: bool,
-}
-
 /// One version of the declarations.
 #[derive(Clone, Debug)]
 pub struct Declarations {
@@ -40,8 +29,6 @@
     pub version: Version,
     /// The routes.
     pub routes: Routes,
-    /// The services by name.
-    pub services: HashMap<ServiceName, Service>,
     /// Who holds a key; none where callers need no key at all.
     pub keys: Option<HashMap<SmolStr, Arc<Organisation>>>,
     /// Bounds on callers.
--- a/crates/router/src/forward/request.rs
+++ b/crates/router/src/forward/request.rs
@@ -73,22 +73,19 @@
     /// Names the beginning of the prompt that this request shares with the most others; 0 for none.
     #[must_use]
     pub fn affinity(&self) -> u64 {
-        let shared = self
-            .prompt
-            .parts
-            .split_last()
-            .map_or(&[][..], |(_, rest)| rest);
-        shared.last().map_or(0, |part| part.id)
+        let shared = self.shared().last().map_or(0, |part| part.id);
+        if self.route.sticky { shared } else { 0 }
     }
 
     /// Tokens of the prompt that others share.
     #[must_use]
     pub fn shared_tokens(&self) -> u32 {
-        let shared = self
-            .prompt
-            .parts
-            .split_last()
-            .map_or(&[][..], |(_, rest)| rest);
-        shared.iter().map(|p| p.tokens).sum()
+        self.shared().iter().map(|p| p.tokens).sum()
+    }
+
+    /// All parts of the prompt but the request's own.
+    fn shared(&self) -> &[Part] {
+        let parts = self.prompt.parts.split_last();
+        parts.map_or(&[], |(_, shared)| shared)
     }
 }
--- a/crates/router/src/http1/connection.rs
+++ b/crates/router/src/http1/connection.rs
@@ -1,12 +1,10 @@
 //! One caller's connection: requests in turn, each with its answer, written straight down.
 
 use std::future::Future;
-use std::io::Write as _;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use http::header::{CONNECTION, CONTENT_LENGTH};
-use http::{HeaderMap, Method, StatusCode};
+use http::Method;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{ReadHalf, WriteHalf};
@@ -15,13 +13,12 @@
 
 use super::chunked::Decoder;
 use super::head::{self, Framing, Head, Malformed};
+use super::reply::{Gone, Reply, State};
 
 /// Bytes that a caller may send ahead while its request is being answered.
 const READ_AHEAD: usize = 64 << 10;
 /// Size of the read buffer at first, in bytes.
 const BUFFER: usize = 4 << 10;
-/// Time that a caller may stop reading its answer before it counts as gone.
-const WRITE_TIMEOUT: Duration = Duration::from_secs(15);
 /// Bytes of a body that need no room of their own: a connection's buffers hold them anyway.
 const FREE_BYTES: usize = 16 << 10;
 /// Bytes that one permit for a body stands for.
@@ -66,11 +63,6 @@
     pub received: Instant,
 }
 
-/// The caller can't be answered any more.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("the caller has gone")]
-pub struct Gone;
-
 /// What answers requests. A request whose caller leaves is dropped, and with it all that its future holds.
 pub trait Handler: Send + Sync {
     /// The limits in force.
@@ -313,155 +305,3 @@
     // A caller that keeps its side open past the bound loses nothing that it was promised.
     let _ = time::timeout(LINGER, drained).await;
 }
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum State {
-    Unsent,
-    Streaming,
-    Ended,
-}
-
-/// The way back to the caller for one request.
-pub struct Reply<'a> {
-    out: WriteHalf<'a>,
-    state: State,
-    close: bool,
-    head_only: bool,
-}
-
-impl<'a> Reply<'a> {
-    const fn new(out: WriteHalf<'a>) -> Self {
-        Self {
-            out,
-            state: State::Unsent,
-            close: false,
-            head_only: false,
-        }
-    }
-
-    const fn reset(&mut self) {
-        self.state = State::Unsent;
-        self.close = false;
-    }
-
-    /// Whether no byte of the answer has been sent.
-    #[must_use]
-    pub fn unsent(&self) -> bool {
-        self.state == State::Unsent
-    }
-
-    /// Makes this the connection's last answer.
-    pub const fn close(&mut self) {
-        self.close = true;
-    }
-
-    async fn proceed(&mut self) -> Result<(), Gone> {
-        self.write(b"HTTP/1.1 100 Continue\r\n\r\n").await
-    }
-
-    /// Sends a whole answer.
-    ///
-    /// # Errors
-    /// When the caller has gone.
-    pub async fn whole(
-        &mut self,
-        status: StatusCode,
-        headers: &HeaderMap,
-        body: &[u8],
-    ) -> Result<(), Gone> {
-        let mut bytes = self.head(status, headers);
-        let bodiless = status == StatusCode::NO_CONTENT || status == StatusCode::NOT_MODIFIED;
-        if !bodiless {
-            put(
-                &mut bytes,
-                format_args!("content-length: {}\r\n", body.len()),
-            );
-        }
-        bytes.extend_from_slice(b"\r\n");
-        if !bodiless && !self.head_only {
-            bytes.extend_from_slice(body);
-        }
-        self.write(&bytes).await?;
-        self.state = State::Ended;
-        Ok(())
-    }
-
-    /// Begins an answer that comes in pieces, with its first one.
-    ///
-    /// # Errors
-    /// When the caller has gone.
-    pub async fn start(
-        &mut self,
-        status: StatusCode,
-        headers: &HeaderMap,
-        piece: &[u8],
-    ) -> Result<(), Gone> {
-        let mut bytes = self.head(status, headers);
-        bytes.extend_from_slice(b"transfer-encoding: chunked\r\n\r\n");
-        chunk(&mut bytes, piece);
-        self.state = State::Streaming;
-        self.write(&bytes).await
-    }
-
-    /// Sends the next piece.
-    ///
-    /// # Errors
-    /// When the caller has gone.
-    pub async fn piece(&mut self, piece: &[u8]) -> Result<(), Gone> {
-        let mut bytes = Vec::with_capacity(piece.len() + 16);
-        chunk(&mut bytes, piece);
-        self.write(&bytes).await
-    }
-
-    /// Ends an answer in pieces as complete.
-    ///
-    /// # Errors
-    /// When the caller has gone.
-    pub async fn end(&mut self) -> Result<(), Gone> {
-        self.write(b"0\r\n\r\n").await?;
-        self.state = State::Ended;
-        Ok(())
-    }
-
-    fn head(&self, status: StatusCode, headers: &HeaderMap) -> Vec<u8> {
-        let mut bytes = Vec::with_capacity(512);
-        let reason = status.canonical_reason().unwrap_or("Status");
-        put(
-            &mut bytes,
-            format_args!("HTTP/1.1 {} {reason}\r\n", status.as_u16()),
-        );
-        for (name, value) in headers {
-            if head::is_end_to_end(name, headers) && name != CONTENT_LENGTH {
-                bytes.extend_from_slice(name.as_str().as_bytes());
-                bytes.extend_from_slice(b": ");
-                bytes.extend_from_slice(value.as_bytes());
-                bytes.extend_from_slice(b"\r\n");
-            }
-        }
-        if self.close {
-            put(&mut bytes, format_args!("{CONNECTION}: close\r\n"));
-        }
-        bytes
-    }
-
-    async fn write(&mut self, bytes: &[u8]) -> Result<(), Gone> {
-        match time::timeout(WRITE_TIMEOUT, self.out.write_all(bytes)).await {
-            Ok(Ok(())) => Ok(()),
-            Ok(Err(_)) | Err(_) => Err(Gone),
-        }
-    }
-}
-
-fn chunk(bytes: &mut Vec<u8>, piece: &[u8]) {
-    if piece.is_empty() {
-        return;
-    }
-    put(bytes, format_args!("{:x}\r\n", piece.len()));
-    bytes.extend_from_slice(piece);
-    bytes.extend_from_slice(b"\r\n");
-}
-
-fn put(bytes: &mut Vec<u8>, text: std::fmt::Arguments<'_>) {
-    // Writing to memory can't fail.
-    let _ = bytes.write_fmt(text);
-}
--- a/crates/router/src/http1/mod.rs
+++ b/crates/router/src/http1/mod.rs
@@ -7,6 +7,8 @@
 mod chunked;
 mod connection;
 mod head;
+mod reply;
 
-pub use connection::{Gone, Handler, Limits, Phase, Reply, Request, serve};
+pub use connection::{Handler, Limits, Phase, Request, serve};
 pub use head::{Framing, Head, Malformed, is_end_to_end, parse};
+pub use reply::{Gone, Reply};
