Never say of a request that may have run that it did not; specify sending

Cause: an idempotent request whose first sending was lost and whose second found no server was refused by the pool as not run (503). Found by writing the specification of sending: "the last refusal decides" is one of its four mistakes. Change: a fault that says "not run" becomes "outcome unknown" if an earlier sending may have run.

--- a/crates/router/src/forward/job.rs
+++ b/crates/router/src/forward/job.rs
@@ -16,7 +16,7 @@
 use super::request::{EventId, Request};
 use super::route::{Kind as Repeat, ServiceName};
 use super::trace::{Outcome, Trace};
-use crate::error::{Fault, Kind};
+use crate::error::{Fault, Kind, Ran};
 use crate::http1::{Gone, Reply};
 use crate::node::Node;
 use crate::placement::Prompt;
@@ -179,7 +179,15 @@
                 Err(Gone) => Outcome::CallerGone,
             };
         }
-        Outcome::Refused(fault)
+        Outcome::Refused(self.truthful(fault))
+    }
+
+    /// The same fault, unless it says that the request didn't run and an earlier sending may have.
+    fn truthful(&self, fault: Fault) -> Fault {
+        match fault.ran() {
+            Ran::No if self.may_have_run => Fault::new(Kind::OutcomeUnknown, fault.message),
+            _ => fault,
+        }
     }
 
     async fn drive(&mut self) -> Result<StatusCode, End> {
@@ -203,7 +211,7 @@
             let allowed = unsent < UNSENT_TRIES && self.may_send_again(&failure);
             self.trace.failed(failure.clone(), allowed);
             if !allowed {
-                return Err(End::Fault(self.fault(&failure)));
+                return Err(End::Fault(Self::fault(&failure)));
             }
         }
     }
@@ -239,10 +247,10 @@
             .budget(self.service, |b| b.spend(terms, instances, now))
     }
 
-    fn fault(&self, failure: &Failure) -> Fault {
+    fn fault(failure: &Failure) -> Fault {
         let reason = failure.as_str();
         match failure {
-            _ if self.may_have_run => Fault::new(Kind::OutcomeUnknown, reason),
+            failure if !failure.surely_not_run() => Fault::new(Kind::OutcomeUnknown, reason),
             Failure::NotRun => Fault::new(Kind::Overloaded, "the backend servers are full")
                 .retry_after(RETRY_AFTER),
             _ => Fault::new(Kind::NoBackendServer, reason).retry_after(RETRY_AFTER),
--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -6,6 +6,8 @@
 //! standing still needs no step of its own, since any other step may come in between. The shard may be
 //! compacted at any moment, which stands for clocks that are wrong by any amount.
 
+pub mod sending;
+
 use std::collections::BTreeSet;
 
 /// Submissions of the caller, each to another instance.
