Give up on a silent server only when another sending is paid for

Cause: a request past its target whose server went on with later ones was ended with 502 where its route allows one sending only, though its answer could still come. Ruled out: the caller's deadline (97 ms and more were left). Change: the budget pays before the sending under way is given up; without another sending it goes on.

--- a/crates/router/src/forward/job.rs
+++ b/crates/router/src/forward/job.rs
@@ -234,11 +234,49 @@
         if *failure == Failure::NotSent && self.sendings == 0 {
             return true;
         }
+        if *failure == Failure::Stalled {
+            // Paid for when it was given up on.
+            return true;
+        }
         let repeatable = !self.may_have_run || self.request.route.kind.repeatable();
         let left = self.sendings < self.request.route.attempts;
         repeatable && left && self.pay()
     }
 
+    /// Whether another sending may follow the one under way, whatever became of that.
+    fn has_another(&self) -> bool {
+        let route = &self.request.route;
+        route.kind.repeatable() && self.sendings + 1 < route.attempts
+    }
+
+    /// Waits until a request has missed its target at a server that goes on with later ones, and another
+    /// sending is paid for. A server that is only slow keeps its requests: sending them again would add to
+    /// the load.
+    async fn passed_over(&self, permit: &Permit) {
+        if !self.has_another() {
+            return std::future::pending().await;
+        }
+        time::sleep(self.request.route.target).await;
+        while !(permit.overtaken() && self.pay()) {
+            time::sleep(LOOK).await;
+        }
+    }
+
+    /// Waits until a stream has paused for too long, and another sending is paid for.
+    async fn stalled(&self, permit: &Permit, started: bool) {
+        if !started {
+            return self.passed_over(permit).await;
+        }
+        if !self.has_another() {
+            return std::future::pending().await;
+        }
+        let gap = self.request.route.gap.unwrap_or_default() * STALL_GAPS;
+        time::sleep(gap.max(STALL_MIN)).await;
+        while !self.pay() {
+            time::sleep(LOOK).await;
+        }
+    }
+
     fn pay(&self) -> bool {
         let terms = &self.core.terms;
         let instances = budget::share_of(self.core.node.membership.all().len());
@@ -270,7 +308,7 @@
         let ran_before = std::mem::replace(&mut self.may_have_run, true);
         let answer = tokio::select! {
             answer = sent => answer,
-            () = overtaken(self.request, permit) => Err(Failure::Stalled),
+            () = self.passed_over(permit) => Err(Failure::Stalled),
         };
         if !matches!(&answer, Err(failure) if !failure.surely_not_run()) {
             self.may_have_run = ran_before || answer.is_ok();
@@ -349,7 +387,7 @@
         loop {
             let next = tokio::select! {
                 next = answer.bytes() => next,
-                () = stalled(self.request, permit, events > 0) => {
+                () = self.stalled(permit, events > 0) => {
                     return Ok(Step::Failed(Failure::Stalled));
                 }
             };
@@ -393,30 +431,6 @@
     }
 }
 
-/// Waits until a request that may be sent again has missed its target at a server that goes on with later
-/// ones. A server that is only slow keeps its requests: sending them again would add to the load.
-async fn overtaken(request: &Request, permit: &Permit) {
-    if !request.route.kind.repeatable() {
-        return std::future::pending().await;
-    }
-    time::sleep(request.route.target).await;
-    while !permit.overtaken() {
-        time::sleep(LOOK).await;
-    }
-}
-
-/// Waits until a stream that can go on elsewhere has paused for too long.
-async fn stalled(request: &Request, permit: &Permit, started: bool) {
-    if !started {
-        return overtaken(request, permit).await;
-    }
-    if !request.route.kind.repeatable() {
-        return std::future::pending().await;
-    }
-    let gap = request.route.gap.unwrap_or_default() * STALL_GAPS;
-    time::sleep(gap.max(STALL_MIN)).await;
-}
-
 fn ticket(request: &Request) -> Ticket {
     let route = &request.route;
     let bytes = request.body.len() + request.target.len();
