Refuse a path that can't be sent on as it came

Cause: found in reading the change: a target that the client library can't hold would have become "/". Change: the target is decoded once, where the request is admitted; one that can't be understood is a 400. What may have run is set in one place. Test: odd paths arrive byte for byte or are refused.

--- a/crates/router/src/forward/attempt.rs
+++ b/crates/router/src/forward/attempt.rs
@@ -112,7 +112,7 @@
     };
     let mut call = http::Request::new(Full::new(request.body.clone()));
     *call.method_mut() = request.method.clone();
-    *call.uri_mut() = request.target.parse().unwrap_or_default();
+    *call.uri_mut() = request.target.clone();
     *call.headers_mut() = dialect.headers(request, &addition);
     call
 }
--- a/crates/router/src/forward/job.rs
+++ b/crates/router/src/forward/job.rs
@@ -207,7 +207,6 @@
             } else {
                 self.sendings += 1;
             }
-            self.may_have_run |= !failure.surely_not_run();
             let allowed = unsent < UNSENT_TRIES && self.may_send_again(&failure);
             self.trace.failed(failure.clone(), allowed);
             if !allowed {
@@ -310,8 +309,8 @@
             answer = sent => answer,
             () = self.passed_over(permit) => Err(Failure::Stalled),
         };
-        if !matches!(&answer, Err(failure) if !failure.surely_not_run()) {
-            self.may_have_run = ran_before || answer.is_ok();
+        if matches!(&answer, Err(failure) if failure.surely_not_run()) {
+            self.may_have_run = ran_before;
         }
         match answer {
             Ok(answer) if self.request.route.kind.streams() && answer.head.status.is_success() => {
@@ -433,7 +432,7 @@
 
 fn ticket(request: &Request) -> Ticket {
     let route = &request.route;
-    let bytes = request.body.len() + request.target.len();
+    let bytes = request.body.len();
     Ticket {
         label: Label {
             level: request.level,
--- a/crates/router/src/forward/request.rs
+++ b/crates/router/src/forward/request.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use http::{HeaderMap, Method};
+use http::{HeaderMap, Method, Uri};
 use smol_str::SmolStr;
 use tokio::time::Instant;
 
@@ -51,7 +51,7 @@
     /// The method.
     pub method: Method,
     /// Path and query as sent.
-    pub target: String,
+    pub target: Uri,
     /// The end-to-end header fields, without those that only the router may set.
     pub headers: HeaderMap,
     /// The body.
--- a/crates/router/src/forward/trace.rs
+++ b/crates/router/src/forward/trace.rs
@@ -102,20 +102,19 @@
             .request
             .until()
             .saturating_duration_since(Instant::now());
-        if let Some(attempt) = self.attempts.last_mut() {
-            Line::new("request.again")
-                .field("id", &self.request.id)
-                .field("server", &attempt.server)
-                .field("cause", failure.as_str())
-                .field("allowed", allowed)
-                .field("sendings", self.attempts.len())
-                .field("left_ms", left.as_millis())
-                .write(Level::Info);
-        }
-        let last = self.attempts.last_mut();
-        if let Some(attempt) = last {
-            attempt.failure = Some(failure);
-        }
+        let sendings = self.attempts.len();
+        let Some(attempt) = self.attempts.last_mut() else {
+            return;
+        };
+        Line::new("request.again")
+            .field("id", &self.request.id)
+            .field("server", &attempt.server)
+            .field("cause", failure.as_str())
+            .field("allowed", allowed)
+            .field("sendings", sendings)
+            .field("left_ms", left.as_millis())
+            .write(Level::Info);
+        attempt.failure = Some(failure);
     }
 
     fn attempts(&self) -> String {
