--- a/crates/router/src/forward/declarations.rs
+++ b/crates/router/src/forward/declarations.rs
@@ -67,10 +67,4 @@
             newer
         })
     }
-
-    /// Told of each new version.
-    #[must_use]
-    pub fn subscribe(&self) -> watch::Receiver<Arc<Declarations>> {
-        self.cell.subscribe()
-    }
 }
--- a/crates/router/src/forward/route.rs
+++ b/crates/router/src/forward/route.rs
@@ -122,9 +122,4 @@
         let mut prefixes = ends.map(|(end, _)| &path[..=end]);
         prefixes.find_map(|prefix| routes.get(prefix))
     }
-
-    /// Every route.
-    pub fn iter(&self) -> impl Iterator<Item = &Arc<Route>> {
-        self.by_prefix.values().flat_map(HashMap::values)
-    }
 }
