Give streams with short pauses servers without long prompts

Servers prefill long prompts in chunks between the tokens of running streams; three chunks in one event exceed its 200 ms. By second and server, the late ones run where long prompts go.

Ruled out: the first token (4 of 100 late by it), the network, the instance's own time.

Change: the demand of each class is observed (prefill time, slots, pauses seen at shared servers), averaged over the instances with the heartbeats, and the servers are divided in rendezvous order in its proportion, as soon as a tenth of a class's responses would be disturbed. It is a preference: a request leaves its part where that costs less. Placement costs are in milliseconds, from an observed prefill rate, in place of tokens.

request.end now names the time to the first event and the longest pause.

--- a/crates/router/src/adapters/callers.rs
+++ b/crates/router/src/adapters/callers.rs
@@ -350,6 +350,7 @@
         },
         prefix_hash,
         first_token_target: class.first_token_ms.map(Duration::from_millis),
+        gap_target: None,
         latency_sensitive: targets.iter().any(Option::is_some),
         starvation_bound: class.starvation_bound(),
         max_wait: class.max_wait(),
--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -87,11 +87,13 @@
             "waited_ms",
             "retry_after_ms",
             "attempts",
+            "first_ms",
             "events",
+            "pause_ms",
             "after",
             "rate",
         ],
-        meaning: "a request ended; the outcome is `answered`, `refused`, `cut` or `caller_gone`; `attempts` lists the server and result of each attempt, `events` the number of streamed events and the time since the last; a line with `rate=N` represents N such lines",
+        meaning: "a request ended; the outcome is `answered`, `refused`, `cut` or `caller_gone`; `attempts` lists the server and result of each attempt, `events` the number of streamed events and the time since the last, `first_ms` the time to the first, `pause_ms` the longest pause between two; a line with `rate=N` represents N such lines",
     },
 ];
 
--- a/crates/router/src/fleet/frame.rs
+++ b/crates/router/src/fleet/frame.rs
@@ -14,6 +14,7 @@
 use crate::fleet::claims::{Operation, Outcome};
 use crate::fleet::membership::InstanceRecord;
 pub use crate::load::admission_floors::FloorKind;
+use crate::load::pools::PoolDemand;
 
 /// Newest version of the peer protocol that this build supports.
 pub const PROTOCOL: u16 = 1;
@@ -55,6 +56,9 @@
         digest: u64,
         /// The floors that the sender requests or has received from others.
         floors: Vec<Floor>,
+        /// The demand for the sender's pools; older builds don't send it.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        demand: Vec<PoolDemand>,
     },
     /// Records of instances.
     #[serde(rename = "Facts")]
--- a/crates/router/src/fleet/link.rs
+++ b/crates/router/src/fleet/link.rs
@@ -368,8 +368,10 @@
                 number,
                 digest,
                 floors,
+                demand,
             } => {
                 node.links.merge_floors(&floors);
+                node.pools.merge_demand(&demand);
                 let own = node.changelog.catalogue().number();
                 if number > own {
                     self.send(&Frame::RequestChanges(own)).await?;
--- a/crates/router/src/forward/access_log.rs
+++ b/crates/router/src/forward/access_log.rs
@@ -59,7 +59,9 @@
     waited: Duration,
     attempts: Vec<Attempt>,
     events: u64,
+    first_event: Option<Duration>,
     last_event: Option<Instant>,
+    longest_pause: Duration,
     /// How the request ended. It is `CallerGone` until set, as a request is dropped early only if its caller
     /// disconnects.
     pub outcome: Outcome,
@@ -75,7 +77,9 @@
             waited: Duration::ZERO,
             attempts: Vec::new(),
             events: 0,
+            first_event: None,
             last_event: None,
+            longest_pause: Duration::ZERO,
             outcome: Outcome::CallerGone,
         }
     }
@@ -96,8 +100,12 @@
 
     /// Records a batch of events that is being forwarded to the caller; a batch counts as one event.
     pub fn record_events(&mut self) {
+        let now = Instant::now();
         self.events += 1;
-        self.last_event = Some(Instant::now());
+        match self.last_event.replace(now) {
+            Some(last) => self.longest_pause = self.longest_pause.max(now - last),
+            None => self.first_event = Some(self.request.received.elapsed()),
+        }
     }
 
     /// Records that the latest attempt failed, and writes a log line that says whether a retry is allowed.
@@ -165,7 +173,12 @@
             .field("waited_ms", self.waited.as_millis())
             .optional_field("retry_after_ms", retry)
             .field("attempts", self.attempts())
+            .optional_field("first_ms", self.first_event.map(|d| d.as_millis()))
             .optional_field("events", events)
+            .optional_field(
+                "pause_ms",
+                self.first_event.map(|_| self.longest_pause.as_millis()),
+            )
             .optional_field("after", request.resume_after)
             .optional_field("rate", (rate > 1).then_some(rate))
     }
--- a/crates/router/src/forward/forwarder.rs
+++ b/crates/router/src/forward/forwarder.rs
@@ -18,8 +18,8 @@
 use crate::error::{Fault, Kind, Ran};
 use crate::http1::{Disconnected, ResponseWriter};
 use crate::load::budget::{self, BudgetLimits, RetryBudget};
-use crate::load::placement::Prompt;
 use crate::load::pool::{AdmissionRequest, Permit, Pool};
+use crate::load::prompt_placement::Prompt;
 use crate::load::queue::RequestAttributes;
 use crate::node::Node;
 use crate::sse::EventSplitter;
@@ -415,6 +415,7 @@
         let status = response.head.status;
         let mut splitter = EventSplitter::default();
         let mut batches = 0;
+        let mut last_event: Option<Instant> = None;
         loop {
             let next = tokio::select! {
                 next = response.next_chunk() => next,
@@ -431,9 +432,12 @@
             let Some(batch) = splitter.events(self.resume_after) else {
                 continue;
             };
-            if batches == 0 {
-                permit.mark_started();
+            let now = Instant::now();
+            match last_event {
+                None => permit.mark_started(),
+                Some(at) => permit.record_pause(now.saturating_duration_since(at)),
             }
+            last_event = Some(now);
             batches += 1;
             self.log.record_events();
             self.send_events(&response, status, &batch.bytes).await?;
@@ -481,6 +485,7 @@
         },
         prefix_hash: request.affinity_key(),
         first_token_target: Some(route.latency_target),
+        gap_target: route.gap_target,
         latency_sensitive: true,
         starvation_bound: STARVATION_BOUND,
         max_wait: route.latency_target,
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -28,7 +28,10 @@
 pub use adapters::{callers, operators, platform_http};
 pub use config::{catalogue, changelog, object};
 pub use fleet::{advertisement, claims, frame, leaving_servers, link, membership};
-pub use load::{admission_floors, placement, pool, pools, queue, server};
+pub use load::{
+    admission_floors, demand, fleet_demand, partition, placement, pool, pools, prompt_placement,
+    queue, server,
+};
 pub use request::{
     admitted, backend, claim, execution, inference, relay, response, service, token,
 };
--- a/crates/router/src/load/mod.rs
+++ b/crates/router/src/load/mod.rs
@@ -3,8 +3,13 @@
 
 pub mod admission_floors;
 pub mod budget;
+pub mod demand;
+pub mod fleet_demand;
+pub mod partition;
 pub mod placement;
 pub mod pool;
 pub mod pools;
+pub mod prompt_placement;
+pub mod quantile;
 pub mod queue;
 pub mod server;
--- a/crates/router/src/load/placement.rs
+++ b/crates/router/src/load/placement.rs
@@ -1,7 +1,4 @@
-//! Selection of a backend server for one request.
-
-use std::collections::HashMap;
-use std::time::Duration;
+//! Selection of a backend server for one request whose prompt is unknown.
 
 use rand::RngExt;
 use slotmap::SlotMap;
@@ -17,40 +14,6 @@
 /// Added to the load score of a server in another data centre.
 const REMOTE_PENALTY: f64 = 0.25;
 
-/// Cost, in prompt tokens, of each millisecond that a server has left a request without a first
-/// token.
-const AGE_TOKENS_PER_MS: f64 = 10.0;
-/// Cost, in prompt tokens, of a server whose slots are all taken.
-const FULL_BATCH_TOKENS: f64 = 20_000.0;
-/// Weight of prompt tokens whose prefill has to be repeated: under load they delay every request
-/// queued behind them.
-const REPREFILL_WEIGHT: f64 = 10.0;
-/// Cost, in prompt tokens, of sending a request to another data centre.
-const REMOTE_PENALTY_TOKENS: f64 = 400.0;
-/// Cost, in prompt tokens, of sending a request to a straggler.
-const STRAGGLER_PENALTY_TOKENS: f64 = 60_000.0;
-/// Fraction of a shared prefix that is assumed not to be cached at the second server in rendezvous
-/// order.
-const SECOND_UNCACHED_RATIO: f64 = 0.5;
-
-/// Estimated length of a prompt. All zero if the length is unknown.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Prompt {
-    /// Tokens of the prefix that other requests have in common with it.
-    pub shared: u32,
-    /// Tokens after the shared prefix.
-    pub unique: u32,
-}
-
-/// Requests of this instance at one server that have no first token yet.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Backlog {
-    /// Prompt tokens that the server has to prefill.
-    pub tokens: u32,
-    /// Time since the oldest of these requests was sent.
-    pub age: Duration,
-}
-
 /// Properties of a request that decide which servers may take it.
 #[derive(Clone, Copy, Debug)]
 pub struct Criteria<'a> {
@@ -123,7 +86,7 @@
     }
 }
 
-fn has_room(server: &Server, criteria: &Criteria<'_>, now: Instant) -> bool {
+pub(super) fn has_room(server: &Server, criteria: &Criteria<'_>, now: Instant) -> bool {
     let allowance = criteria.max_unstarted + u32::from(criteria.guard);
     let below_allowance = server.unstarted(criteria.level) < allowance;
     server.available(now) && (server.free_slots(now) > 0 || below_allowance)
@@ -174,68 +137,3 @@
         eligible[second].0
     }
 }
-
-/// State other than that of the servers that [`choose_for_prompt`] takes into account.
-#[derive(Clone, Copy, Debug)]
-pub struct PromptContext<'a> {
-    /// Backlog of each server; servers without an entry have none.
-    pub backlogs: &'a HashMap<ServerId, Backlog>,
-    /// Servers that prefilled the prompt's shared prefix recently and are assumed to have it
-    /// cached.
-    pub cached: &'a [ServerId],
-}
-
-/// Selects the server that is expected to finish the prefill of `prompt` first, measured in prompt
-/// tokens to be prefilled until then.
-///
-/// Rendezvous hashing gives each shared prefix one preferred server among the available ones, the
-/// same at every instance, so that it is prefilled once; requests that this server can't take go to
-/// the second in the order.
-#[must_use]
-pub fn choose_for_prompt(
-    servers: &SlotMap<ServerId, Server>,
-    criteria: &Criteria<'_>,
-    prompt: Prompt,
-    context: &PromptContext<'_>,
-    now: Instant,
-) -> Choice {
-    let mut order: Vec<(u64, ServerId)> = servers
-        .iter()
-        .filter(|(_, s)| s.available(now))
-        .map(|(id, s)| (rendezvous::weight(criteria.prefix_hash, s.name()), id))
-        .collect();
-    order.sort_unstable_by(|a, b| b.cmp(a));
-    let candidates = order.iter().enumerate().filter(|(_, (_, id))| {
-        has_room(&servers[*id], criteria, now) && !criteria.avoid.contains(id)
-    });
-    let costs = candidates.map(|(rank, (_, id))| {
-        let uncached = match rank {
-            _ if context.cached.contains(id) => 0.0,
-            0 => 0.0,
-            1 => SECOND_UNCACHED_RATIO,
-            _ => 1.0,
-        };
-        let backlog = context.backlogs.get(id).copied().unwrap_or_default();
-        let reprefill = f64::from(prompt.shared) * uncached * REPREFILL_WEIGHT;
-        (reprefill + delay_tokens(&servers[*id], backlog, now), *id)
-    });
-    let best = costs.min_by(|a, b| a.0.total_cmp(&b.0));
-    best.map_or(Choice::Full, |(_, id)| Choice::Server(id))
-}
-
-/// Expected delay of a new request at a server, in prompt tokens.
-fn delay_tokens(server: &Server, backlog: Backlog, now: Instant) -> f64 {
-    let waiting = f64::from(backlog.tokens);
-    let stalled = backlog.age.as_secs_f64() * 1_000.0 * AGE_TOKENS_PER_MS;
-    let remote = if server.local {
-        0.0
-    } else {
-        REMOTE_PENALTY_TOKENS
-    };
-    let slow = if server.straggling() {
-        STRAGGLER_PENALTY_TOKENS
-    } else {
-        0.0
-    };
-    waiting.max(stalled) + server.fullness(now) * FULL_BATCH_TOKENS + remote + slow
-}
--- a/crates/router/src/load/pool.rs
+++ b/crates/router/src/load/pool.rs
@@ -20,7 +20,11 @@
 use crate::config::object::{BackendServer, Level};
 use crate::error::{Fault, Kind};
 use crate::load::admission_floors::{AdmissionFloors, FloorKind};
-use crate::load::placement::{Choice, Prompt};
+use crate::load::demand::Demand;
+use crate::load::fleet_demand::{ClassSummary, FleetDemand};
+use crate::load::partition::Partition;
+use crate::load::placement::Choice;
+use crate::load::prompt_placement::Prompt;
 use crate::load::queue::{Dequeued, EntryId, Queue, RequestAttributes};
 pub use crate::load::server::ServerId;
 use crate::load::server::{LoadReport, Server};
@@ -56,6 +60,8 @@
     pub prefix_hash: u64,
     /// Target for the time to first token; `None` if the class has none.
     pub first_token_target: Option<Duration>,
+    /// Target for the longest pause between events of the response; `None` if the class has none.
+    pub gap_target: Option<Duration>,
     /// Whether the class has any latency target; stragglers are avoided then.
     pub latency_sensitive: bool,
     /// Longest time that the class may wait without any of its requests being sent (starvation
@@ -159,6 +165,11 @@
             grants: SlotMap::with_key(),
             classes: HashMap::new(),
             floors: AdmissionFloors::default(),
+            demand: Demand::default(),
+            fleet_demand: FleetDemand::default(),
+            partition: Partition::default(),
+            instances: 1,
+            partitioned: None,
             retry_tokens: RETRY_TOKENS_INITIAL,
             cached_prefixes: HashMap::new(),
             last_tick: Instant::now(),
@@ -377,6 +388,22 @@
         self.lock().floors.set_fleet_floors(hold, evict);
     }
 
+    /// The demand of the average instance, to be sent to peers.
+    #[must_use]
+    pub fn demand(&self) -> Vec<ClassSummary> {
+        self.lock().fleet_demand.summaries()
+    }
+
+    /// Takes the demand known to a peer into account.
+    pub fn merge_demand(&self, peer: &[ClassSummary]) {
+        self.lock().fleet_demand.merge(peer);
+    }
+
+    /// Sets the number of instances that send requests to the pool, this one included.
+    pub fn set_instances(&self, instances: usize) {
+        self.lock().instances = u32::try_from(instances.max(1)).unwrap_or(u32::MAX);
+    }
+
     /// Does the periodic work: updates the floors, evicts and expires waiting requests, preempts
     /// running ones for late ones, and detects stragglers. Must be called more often than every 250
     /// ms, or gap samples are discarded.
@@ -392,6 +419,7 @@
             let preempted = state.preempt(now);
             self.metrics.add("preempted", preempted);
             state.update_stragglers();
+            state.update_partition(now);
             state.expire_prefixes(now);
             replies
         };
@@ -442,6 +470,12 @@
         let (directive, receiver) = watch::channel(Directive::Continue);
         let level = admission.attributes.level;
         let uncached = state.record_prefix(server, admission.prefix_hash, prompt, now);
+        if prompt != Prompt::default() {
+            let class = &admission.attributes.class;
+            state
+                .demand
+                .record_sent(class, admission.gap_target, uncached);
+        }
         let grant = state.grants.insert(Grant {
             server,
             attributes: admission.attributes.clone(),
@@ -551,15 +585,19 @@
     }
 
     fn mark_started(self: &Arc<Self>, grant: GrantId) {
+        let now = Instant::now();
         let mut state = self.lock();
         let State {
             grants,
             servers,
+            demand,
             preemption,
             ..
         } = &mut *state;
         if let Some(grant) = grants.get_mut(grant).filter(|g| g.stage != Stage::Started) {
             grant.stage = Stage::Started;
+            let took = now.saturating_duration_since(grant.sent);
+            demand.record_first_token(grant.uncached, took);
             if let Some(server) = servers.get_mut(grant.server) {
                 server.remove_unstarted(grant.attributes.level);
                 server.record_newest_started(grant.attributes.level, grant.sent);
--- a/crates/router/src/load/pool/permit.rs
+++ b/crates/router/src/load/pool/permit.rs
@@ -2,6 +2,7 @@
 //! pool through it.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -66,6 +67,13 @@
         }
     }
 
+    /// Records a pause between two events of the response. Ignored while or shortly after this
+    /// instance itself was paused.
+    pub fn record_pause(&self, pause: Duration) {
+        let mut state = self.pool.lock();
+        state.record_pause(self.server, pause, Instant::now());
+    }
+
     /// Records a complete response: updates the expected cost of the class and adds to the retry
     /// tokens. `tokens` is the number of tokens or events, or 1 for a response that has neither.
     pub fn record_completion(&self, tokens: u64) {
--- a/crates/router/src/load/pool/state.rs
+++ b/crates/router/src/load/pool/state.rs
@@ -13,7 +13,11 @@
 use crate::config::object::Level;
 use crate::error::{Fault, Kind};
 use crate::load::admission_floors::AdmissionFloors;
-use crate::load::placement::{self, Backlog, Choice, Criteria, Prompt, PromptContext};
+use crate::load::demand::Demand;
+use crate::load::fleet_demand::FleetDemand;
+use crate::load::partition::Partition;
+use crate::load::placement::{self, Choice, Criteria};
+use crate::load::prompt_placement::{self, Backlog, PoolLoad, Prompt, PromptRequest};
 use crate::load::queue::{EntryId, Queue, RequestAttributes};
 use crate::load::server::Server;
 
@@ -30,6 +34,8 @@
 /// Time for which a server is assumed to have a prefix cached after a request with it was sent
 /// there.
 const PREFIX_TTL: Duration = Duration::from_secs(20);
+/// Time between two adaptations of the partition of the servers.
+const PARTITION_INTERVAL: Duration = Duration::from_millis(250);
 /// Time between two ticks above which this instance is considered to have been paused.
 const PAUSE_THRESHOLD: Duration = Duration::from_millis(250);
 
@@ -90,6 +96,13 @@
     /// Servers assumed to have a prefix cached, by its hash, with the time of the last request that
     /// used it.
     pub(super) cached_prefixes: HashMap<u64, Vec<(ServerId, Instant)>>,
+    pub(super) demand: Demand,
+    pub(super) fleet_demand: FleetDemand,
+    pub(super) partition: Partition,
+    /// Instances that send requests to the pool.
+    pub(super) instances: u32,
+    /// When the partition was last adapted to the demand.
+    pub(super) partitioned: Option<Instant>,
     pub(super) retry_tokens: f64,
     pub(super) last_tick: Instant,
     pub(super) measure_after: Instant,
@@ -135,7 +148,13 @@
             prefer: admission.prefer,
             max_unstarted,
         };
-        let choice = self.place(&criteria, prompt, now);
+        let request = PromptRequest {
+            prompt,
+            class: &admission.attributes.class,
+            first_token_target: admission.first_token_target,
+            gap_target: admission.gap_target,
+        };
+        let choice = self.place(&criteria, &request, now);
         // If only servers that failed the request have capacity, it is sent to one of them again.
         match choice {
             Choice::Full if !admission.avoid.is_empty() => {
@@ -143,23 +162,30 @@
                     avoid: &[],
                     ..criteria
                 };
-                self.place(&criteria, prompt, now)
+                self.place(&criteria, &request, now)
             }
             choice => choice,
         }
     }
 
-    fn place(&mut self, criteria: &Criteria<'_>, prompt: Prompt, now: Instant) -> Choice {
-        if prompt == Prompt::default() {
+    fn place(
+        &mut self,
+        criteria: &Criteria<'_>,
+        request: &PromptRequest<'_>,
+        now: Instant,
+    ) -> Choice {
+        if request.prompt == Prompt::default() {
             return placement::choose(&self.servers, criteria, now, &mut self.rng);
         }
         let backlogs = self.backlogs(now);
         let cached = self.servers_with_prefix(criteria.prefix_hash);
-        let context = PromptContext {
+        let load = PoolLoad {
             backlogs: &backlogs,
             cached: &cached,
+            demand: &self.demand,
+            partition: &self.partition,
         };
-        placement::choose_for_prompt(&self.servers, criteria, prompt, &context, now)
+        prompt_placement::choose(&self.servers, criteria, request, &load, now)
     }
 
     /// Unstarted requests of this instance by server.
@@ -202,6 +228,49 @@
         shared + prompt.unique
     }
 
+    /// Adapts the partition of the servers to the demand, unless that was done recently.
+    pub(super) fn update_partition(&mut self, now: Instant) {
+        let due = self
+            .partitioned
+            .is_none_or(|at| now.saturating_duration_since(at) >= PARTITION_INTERVAL);
+        if !due {
+            return;
+        }
+        self.partitioned = Some(now);
+        let mut in_flight: HashMap<SmolStr, u32> = HashMap::new();
+        for grant in self.grants.values() {
+            *in_flight.entry(grant.attributes.class.clone()).or_default() += 1;
+        }
+        self.demand.update(&in_flight, now);
+        let slots = self.mean_slots();
+        self.fleet_demand.observe(self.demand.summaries(slots));
+        let before = self.partition.to_string();
+        let demand = self.fleet_demand.summaries();
+        let instances = f64::from(self.instances);
+        self.partition.update(&self.servers, &demand, instances);
+        let after = self.partition.to_string();
+        if after != before {
+            log::info!("partition={after} before={before}");
+        }
+    }
+
+    /// Mean number of slots of the servers; 1 without servers.
+    fn mean_slots(&self) -> f64 {
+        let slots: u32 = self.servers.values().map(|s| s.declared.slots).sum();
+        let servers = u32::try_from(self.servers.len()).unwrap_or(u32::MAX);
+        f64::from(slots.max(1)) / f64::from(servers.max(1))
+    }
+
+    /// Records a pause between two events of a response from `server`.
+    pub(super) fn record_pause(&mut self, server: ServerId, pause: Duration, now: Instant) {
+        if self.recently_paused(now) {
+            return;
+        }
+        let partition = &self.partition;
+        self.demand
+            .record_pause(pause, |class| partition.shares(server, class));
+    }
+
     /// Removes prefixes that servers have probably evicted from their caches.
     pub(super) fn expire_prefixes(&mut self, now: Instant) {
         self.cached_prefixes.retain(|_, servers| {
--- a/crates/router/src/load/pools.rs
+++ b/crates/router/src/load/pools.rs
@@ -3,11 +3,13 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::{Arc, Mutex, PoisonError};
 
+use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
 use crate::config::catalogue::Catalogue;
 use crate::config::object::{BackendServer, Level};
 use crate::load::admission_floors::FloorKind;
+use crate::load::fleet_demand::ClassSummary;
 use crate::load::pool::{Limits, Pool, Preemption, ServerId};
 use crate::metrics::Metrics;
 use crate::rendezvous;
@@ -34,6 +36,17 @@
     by_name: Mutex<HashMap<SmolStr, Arc<Pool>>>,
 }
 
+/// Demand for one pool, as exchanged between instances.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PoolDemand {
+    /// Name of the pool.
+    #[serde(rename = "p")]
+    pub pool: SmolStr,
+    /// Demand of the average instance by class.
+    #[serde(rename = "c")]
+    pub classes: Vec<ClassSummary>,
+}
+
 impl Pools {
     /// Creates an empty set of pools.
     #[must_use]
@@ -79,6 +92,28 @@
         floors
     }
 
+    /// The demand for each pool, sorted by pool name. Pools without known demand are left out.
+    #[must_use]
+    pub fn demand(&self) -> Vec<PoolDemand> {
+        let of_pool = |pool: &Arc<Pool>| PoolDemand {
+            pool: pool.name().clone(),
+            classes: pool.demand(),
+        };
+        let mut demand: Vec<PoolDemand> = self.all().iter().map(of_pool).collect();
+        demand.retain(|d| !d.classes.is_empty());
+        demand.sort_by(|a, b| a.pool.cmp(&b.pool));
+        demand
+    }
+
+    /// Takes the demand known to a peer into account.
+    pub fn merge_demand(&self, peer: &[PoolDemand]) {
+        for demand in peer {
+            if let Some(pool) = self.get(&demand.pool) {
+                pool.merge_demand(&demand.classes);
+            }
+        }
+    }
+
     /// Updates all pools to the servers of a configuration, and returns the servers that were
     /// added. Pools that it doesn't name lose their servers.
     pub fn update_servers(&self, metrics: &Arc<Metrics>, catalogue: &Catalogue) -> Vec<NewServer> {
--- a/crates/router/tests/frames.rs
+++ b/crates/router/tests/frames.rs
@@ -3,8 +3,10 @@
 mod common;
 
 use jackdawtally::claims::{Action, Entry, Operation, Outcome, Progress};
+use jackdawtally::fleet_demand::ClassSummary;
 use jackdawtally::frame::{self, Floor, FloorKind, Frame, Hello, LinkError, Seal, Side};
 use jackdawtally::object::{Change, Edit, Object};
+use jackdawtally::pools::PoolDemand;
 use uuid::Uuid;
 
 const KEY: &str = "0123456789abcdef";
@@ -58,6 +60,17 @@
                 level: 2,
                 ttl_ms: 1_500,
             }],
+            demand: vec![PoolDemand {
+                pool: "model/m".into(),
+                classes: vec![ClassSummary {
+                    class: "chat".into(),
+                    gap_ms: f32::INFINITY,
+                    prefill_servers: 0.5,
+                    slot_servers: 0.25,
+                    prefill_ms: 40.0,
+                    disturbed: 0.125,
+                }],
+            }],
         },
         Frame::Instances(vec![common::instance_record("a", "north")]),
         Frame::RequestInstances,
--- a/crates/router/tests/placement.rs
+++ b/crates/router/tests/placement.rs
@@ -4,9 +4,12 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use jackdawtally::demand::Demand;
 use jackdawtally::object::BackendServer;
-use jackdawtally::placement::{self, Backlog, Choice, Criteria, Prompt, PromptContext};
+use jackdawtally::partition::Partition;
+use jackdawtally::placement::{Choice, Criteria};
 use jackdawtally::pool::ServerId;
+use jackdawtally::prompt_placement::{self, Backlog, PoolLoad, Prompt, PromptRequest};
 use jackdawtally::rendezvous;
 use jackdawtally::server::Server;
 use slotmap::SlotMap;
@@ -58,16 +61,27 @@
     }
 }
 
+fn request() -> PromptRequest<'static> {
+    PromptRequest {
+        prompt: PROMPT,
+        class: "reviews",
+        first_token_target: Some(Duration::from_secs(2)),
+        gap_target: None,
+    }
+}
+
 fn place(
     servers: &SlotMap<ServerId, Server>,
     criteria: &Criteria<'_>,
     backlogs: &HashMap<ServerId, Backlog>,
 ) -> String {
-    let context = PromptContext {
+    let load = PoolLoad {
         backlogs,
         cached: &[],
+        demand: &Demand::default(),
+        partition: &Partition::default(),
     };
-    match placement::choose_for_prompt(servers, criteria, PROMPT, &context, Instant::now()) {
+    match prompt_placement::choose(servers, criteria, &request(), &load, Instant::now()) {
         Choice::Server(id) => servers[id].name().to_string(),
         choice => panic!("{choice:?}"),
     }
@@ -226,7 +240,7 @@
 }
 
 /// Direct formulation of the selection: of the servers with a free slot, the one with the lowest
-/// cost in prompt tokens.
+/// cost in milliseconds. Without observations, 40 prompt tokens take a millisecond.
 fn naive(cases: &[ServerCase], prefix: u64) -> Option<String> {
     let name = |n: usize| format!("engine-{n}");
     let available: Vec<usize> = (0..cases.len())
@@ -246,15 +260,15 @@
             _ if case.cached => 0.0,
             _ => 1.0,
         };
-        let prefill =
-            f64::from(case.tokens).max(f64::from(u32::try_from(case.age_ms).unwrap_or(0)) * 10.0);
-        let batch = f64::from(case.sent) / 64.0 * 20_000.0;
+        let age_ms = f64::from(u32::try_from(case.age_ms).unwrap_or(0));
+        let prefill = (f64::from(case.tokens) / 40.0).max(age_ms * 0.25);
+        let batch = f64::from(case.sent) / 64.0 * 500.0;
         let remote = if case.location == Location::Local {
             0.0
         } else {
-            400.0
+            10.0
         };
-        let cost = 10.0 * 13_300.0 * uncached + prefill + batch + remote;
+        let cost = 10.0 * (13_300.0 * uncached / 40.0) + prefill + batch + remote;
         if best.is_none_or(|(least, _)| cost < least) {
             best = Some((cost, n));
         }
@@ -287,12 +301,14 @@
             max_unstarted: 0,
             ..criteria(prefix)
         };
-        let context = PromptContext {
+        let load = PoolLoad {
             backlogs: &backlogs,
             cached: &cached,
+            demand: &Demand::default(),
+            partition: &Partition::default(),
         };
         let choice =
-            placement::choose_for_prompt(&servers, &criteria, PROMPT, &context, Instant::now());
+            prompt_placement::choose(&servers, &criteria, &request(), &load, Instant::now());
         let chosen = match choice {
             Choice::Server(id) => Some(servers[id].name().to_string()),
             Choice::OnlyStragglers | Choice::Full => None,
--- a/crates/router/tests/pool.rs
+++ b/crates/router/tests/pool.rs
@@ -54,6 +54,7 @@
         },
         prefix_hash: 0,
         first_token_target: Some(Duration::from_millis(400)),
+        gap_target: None,
         latency_sensitive: level == 0,
         starvation_bound: Duration::from_secs(4),
         max_wait: Duration::from_mins(1),
