--- a/crates/router/src/load/demand.rs
+++ b/crates/router/src/load/demand.rs
@@ -15,7 +15,7 @@
 /// Time constant of the decay of observed pauses, which are rarer than requests.
 const PAUSE_DECAY: Duration = Duration::from_secs(10);
 /// Time over which pauses were observed, in seconds, that is assumed at least.
-const PAUSE_SECONDS_MIN: f64 = 2.0;
+const PAUSE_SECONDS_MIN: f64 = 1.0;
 /// Decayed number of requests below which a class is forgotten.
 const REQUESTS_MIN: f64 = 0.5;
 /// Prompts up to this quantile of their prefill time count as usual for their class.
@@ -23,6 +23,11 @@
 /// Quantile of the observed prefill rates that is taken as the rate of an idle server: most prompts
 /// wait behind others, and appear to be prefilled more slowly.
 const IDLE_RATE: f64 = 0.9;
+/// Step of the estimate of the usual prefill time.
+const USUAL_PROMPTS_STEP: f64 = 0.15;
+/// Step of the estimate of the prefill rate. It is small, as the rate itself doesn't change, while
+/// prompts appear to be prefilled slowly under load, and fast when they are cached unexpectedly.
+const RATE_STEP: f64 = 0.03;
 /// Prefill rate assumed before the first observation, in tokens per ms.
 const RATE_INITIAL: f64 = 40.0;
 /// Prompt tokens from which a prompt shows the prefill rate; in shorter ones other delays prevail.
@@ -55,7 +60,7 @@
             requests: 0.0,
             prefill_ms: 0.0,
             in_flight: 0.0,
-            usual_ms: Quantile::new(USUAL_PROMPTS),
+            usual_ms: Quantile::new(USUAL_PROMPTS, USUAL_PROMPTS_STEP),
             long_pauses: 0.0,
             pause_seconds: 0.0,
         }
@@ -102,7 +107,7 @@
     fn default() -> Self {
         Self {
             classes: HashMap::new(),
-            rate: Quantile::new(IDLE_RATE),
+            rate: Quantile::starting_at(RATE_INITIAL, IDLE_RATE, RATE_STEP),
             updated: None,
         }
     }
--- a/crates/router/src/load/partition.rs
+++ b/crates/router/src/load/partition.rs
@@ -26,9 +26,9 @@
 const BORDER_TOLERANCE: f64 = 0.75;
 /// Fraction of a class's responses that the prompts of others have to disturb before it gets servers
 /// of its own.
-const SEPARATE_RATIO: f64 = 0.1;
+const SEPARATE_RATIO: f64 = 0.25;
 /// The same for classes that already have servers of their own (hysteresis).
-const KEEP_RATIO: f64 = 0.03;
+const KEEP_RATIO: f64 = 0.1;
 /// Servers of a part relative to its demand, except for the last part, which gets the rest.
 const HEADROOM: f64 = 1.5;
 /// Fraction of their share of the servers that parts keep whatever the parts before them need.
--- a/crates/router/src/load/pool/state.rs
+++ b/crates/router/src/load/pool/state.rs
@@ -35,7 +35,7 @@
 /// there.
 const PREFIX_TTL: Duration = Duration::from_secs(20);
 /// Time between two adaptations of the partition of the servers.
-const PARTITION_INTERVAL: Duration = Duration::from_millis(250);
+const PARTITION_INTERVAL: Duration = Duration::from_millis(100);
 /// Time between two ticks above which this instance is considered to have been paused.
 const PAUSE_THRESHOLD: Duration = Duration::from_millis(250);
 
