--- a/crates/router/src/forward/forwarder.rs
+++ b/crates/router/src/forward/forwarder.rs
@@ -355,7 +355,7 @@
                 Err(_) => return Ok(AttemptResult::Failed(Failure::Broken)),
             }
             if body.len() > MAX_BUFFERED_BYTES {
-                return self.forward_chunked(response, &body).await;
+                return self.forward_chunked(permit, response, &body).await;
             }
         }
         permit.mark_started();
@@ -386,10 +386,12 @@
     /// here on the request can't be retried.
     async fn forward_chunked(
         &mut self,
+        permit: &Permit,
         mut response: BackendResponse,
         received: &[u8],
     ) -> Result<AttemptResult, ForwardError> {
         let status = response.head.status;
+        permit.mark_started();
         self.response
             .start_chunked(status, &response.head.headers, received)
             .await?;
@@ -401,6 +403,7 @@
             }
         }
         response.release();
+        permit.record_completion(1);
         self.response.finish().await?;
         Ok(AttemptResult::Done(status))
     }
--- a/crates/router/src/load/pool.rs
+++ b/crates/router/src/load/pool.rs
@@ -25,12 +25,14 @@
 use crate::load::partition::Partition;
 use crate::load::placement::Choice;
 use crate::load::prompt_placement::Prompt;
-use crate::load::queue::{Dequeued, EntryId, Queue, RequestAttributes};
+use crate::load::queue::{EntryId, Queue, RequestAttributes};
 pub use crate::load::server::ServerId;
-use crate::load::server::{LoadReport, Server};
+use crate::load::server::{Declaration, LoadReport, Server};
 use crate::metrics::Metrics;
 
+mod periodic;
 mod permit;
+mod prompts;
 mod state;
 
 pub use permit::Permit;
@@ -191,7 +193,7 @@
     }
 
     /// Replaces the servers of the pool. Those that stay keep their state. Removed ones are marked
-    /// as leaving, and dropped at the first update at which they have no request of this instance.
+    /// as leaving, and dropped as soon as they have no request of this instance.
     /// `data_centre` is that of this instance.
     pub fn update_servers(self: &Arc<Self>, declared: &[&BackendServer], data_centre: &str) {
         let mut state = self.lock();
@@ -203,6 +205,7 @@
             .collect();
         for id in removed {
             state.servers[id].declared.leaving = true;
+            state.servers[id].declaration = Declaration::Removed;
             if state.servers[id].in_flight() == 0 {
                 state.servers.remove(id);
             }
@@ -214,6 +217,7 @@
                 .find(|s| same_server(server, &s.declared));
             if let Some(known) = known {
                 known.declared = (*server).clone();
+                known.declaration = Declaration::Current;
             } else {
                 let local = server.data_centre == data_centre;
                 state.servers.insert(Server::new((*server).clone(), local));
@@ -404,29 +408,6 @@
         self.lock().instances = u32::try_from(instances.max(1)).unwrap_or(u32::MAX);
     }
 
-    /// Does the periodic work: updates the floors, evicts and expires waiting requests, preempts
-    /// running ones for late ones, and detects stragglers. Must be called more often than every 250
-    /// ms, or gap samples are discarded.
-    pub fn tick(self: &Arc<Self>) {
-        let now = Instant::now();
-        let replies = {
-            let mut state = self.lock();
-            let mut replies = Vec::new();
-            state.detect_pause(now);
-            state.update_floors(now, self.limits.queue_bytes);
-            self.evict(&mut state, now, &mut replies);
-            self.expire(&mut state, now, &mut replies);
-            let preempted = state.preempt(now);
-            self.metrics.add("preempted", preempted);
-            state.update_stragglers();
-            state.update_partition(now);
-            state.expire_prefixes(now);
-            replies
-        };
-        send_replies(replies);
-        self.dispatch_waiting();
-    }
-
     /// Issues permits to waiting requests while servers have capacity, those of starving classes
     /// first.
     fn dispatch_waiting(self: &Arc<Self>) {
@@ -520,66 +501,6 @@
         }
     }
 
-    fn evict(&self, state: &mut State, now: Instant, replies: &mut Vec<PendingReply>) {
-        let floor = state.floors.evict_floor(now);
-        while let Some(victim) = state.queue.victim(Some(floor)) {
-            self.shed(state, victim, now, replies);
-        }
-        while state.queue.bytes() > self.limits.queue_bytes {
-            let lowest = state.queue.levels().next_back().unwrap_or(Level::MAX);
-            let propagated = state.floors.propagated(lowest, now);
-            let hard_limit = state.queue.bytes() > self.limits.queue_bytes * 2;
-            match state.queue.victim(None) {
-                Some(victim) if propagated || hard_limit => self.shed(state, victim, now, replies),
-                _ => break,
-            }
-        }
-    }
-
-    fn shed(
-        &self,
-        state: &mut State,
-        victim: EntryId,
-        now: Instant,
-        replies: &mut Vec<PendingReply>,
-    ) {
-        if let Some(dequeued) = state.queue.remove(victim) {
-            self.metrics.count("shed.evicted");
-            let fault = state.overloaded(&dequeued.attributes, now);
-            replies.push((dequeued.item.reply, Err(fault)));
-        }
-    }
-
-    fn expire(&self, state: &mut State, now: Instant, replies: &mut Vec<PendingReply>) {
-        let late: Vec<EntryId> = state
-            .queue
-            .flow_fronts()
-            .filter(|id| {
-                let partial = state
-                    .queue
-                    .get(*id)
-                    .is_none_or(|(attributes, _)| attributes.partial);
-                !partial && state.waited_fraction(*id, now) >= 1.0
-            })
-            .collect();
-        for id in late {
-            let reachable = state.servers.values().any(|s| s.available(now));
-            if let Some(Dequeued {
-                attributes, item, ..
-            }) = state.queue.remove(id)
-            {
-                self.metrics.count("shed.expired");
-                let fault = if reachable {
-                    state.overloaded(&attributes, now)
-                } else {
-                    Fault::new(Kind::NoBackendServer, "no backend server can be reached")
-                        .retry_after(Duration::from_secs(2))
-                };
-                replies.push((item.reply, Err(fault)));
-            }
-        }
-    }
-
     fn cancel(&self, id: EntryId) {
         self.lock().queue.remove(id);
     }
@@ -620,6 +541,9 @@
             if by_router && grant.preemptible() {
                 server.record_preemptible(grant.attributes.level, false);
             }
+            if server.declaration == Declaration::Removed && server.in_flight() == 0 {
+                state.servers.remove(grant.server);
+            }
         }
         drop(state);
         self.dispatch_waiting();
--- /dev/null
+++ b/crates/router/src/load/pool/prompts.rs
@@ -0,0 +1,132 @@
+//! State of a pool that concerns prompts: their placement, cached prefixes, and the partition of the
+//! servers.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use smol_str::SmolStr;
+use tokio::time::Instant;
+
+use super::ServerId;
+use super::state::{Stage, State};
+use crate::load::placement::{self, Choice, Criteria};
+use crate::load::prompt_placement::{self, Backlog, PoolLoad, Prompt, PromptRequest};
+
+/// Time for which a server is assumed to have a prefix cached after a request with it was sent
+/// there.
+const PREFIX_TTL: Duration = Duration::from_secs(20);
+/// Time between two adaptations of the partition of the servers.
+const PARTITION_INTERVAL: Duration = Duration::from_millis(100);
+
+impl State {
+    pub(super) fn place(
+        &mut self,
+        criteria: &Criteria<'_>,
+        request: &PromptRequest<'_>,
+        now: Instant,
+    ) -> Choice {
+        if request.prompt == Prompt::default() {
+            return placement::choose(&self.servers, criteria, now, &mut self.rng);
+        }
+        let backlogs = self.backlogs(now);
+        let cached = self.servers_with_prefix(criteria.prefix_hash);
+        let load = PoolLoad {
+            backlogs: &backlogs,
+            cached: &cached,
+            demand: &self.demand,
+            partition: &self.partition,
+        };
+        prompt_placement::choose(&self.servers, criteria, request, &load, now)
+    }
+
+    /// Unstarted requests of this instance by server.
+    fn backlogs(&self, now: Instant) -> HashMap<ServerId, Backlog> {
+        let mut backlogs: HashMap<ServerId, Backlog> = HashMap::new();
+        let unstarted = self.grants.values().filter(|g| g.stage != Stage::Started);
+        for grant in unstarted {
+            let backlog = backlogs.entry(grant.server).or_default();
+            backlog.tokens = backlog.tokens.saturating_add(grant.uncached);
+            let age = now.saturating_duration_since(grant.sent);
+            backlog.age = backlog.age.max(age);
+        }
+        backlogs
+    }
+
+    fn servers_with_prefix(&self, prefix_hash: u64) -> Vec<ServerId> {
+        let cached = self.cached_prefixes.get(&prefix_hash).into_iter().flatten();
+        cached.map(|(id, _)| *id).collect()
+    }
+
+    /// Records that a server is about to prefill a prefix, and returns the prompt tokens that it
+    /// has to prefill for the request. A `prefix_hash` of 0 isn't recorded.
+    pub(super) fn record_prefix(
+        &mut self,
+        server: ServerId,
+        prefix_hash: u64,
+        prompt: Prompt,
+        now: Instant,
+    ) -> u32 {
+        if prefix_hash == 0 {
+            return prompt.shared + prompt.unique;
+        }
+        let cached = self.cached_prefixes.entry(prefix_hash).or_default();
+        let known = cached.iter().position(|(id, _)| *id == server);
+        match known {
+            Some(position) => cached[position].1 = now,
+            None => cached.push((server, now)),
+        }
+        let shared = if known.is_some() { 0 } else { prompt.shared };
+        shared + prompt.unique
+    }
+
+    /// Adapts the partition of the servers to the demand, unless that was done recently.
+    pub(super) fn update_partition(&mut self, now: Instant) {
+        let due = self
+            .partitioned
+            .is_none_or(|at| now.saturating_duration_since(at) >= PARTITION_INTERVAL);
+        if !due {
+            return;
+        }
+        self.partitioned = Some(now);
+        let mut in_flight: HashMap<SmolStr, u32> = HashMap::new();
+        for grant in self.grants.values() {
+            *in_flight.entry(grant.attributes.class.clone()).or_default() += 1;
+        }
+        self.demand.update(&in_flight, now);
+        let slots = self.mean_slots();
+        self.fleet_demand.observe(self.demand.summaries(slots));
+        let before = self.partition.to_string();
+        let demand = self.fleet_demand.summaries();
+        let instances = f64::from(self.instances);
+        self.partition.update(&self.servers, &demand, instances);
+        let after = self.partition.to_string();
+        if after != before {
+            log::info!("partition={after} before={before}");
+        }
+    }
+
+    /// Mean number of slots of the servers; 1 without servers.
+    fn mean_slots(&self) -> f64 {
+        let slots: u32 = self.servers.values().map(|s| s.declared.slots).sum();
+        let servers = u32::try_from(self.servers.len()).unwrap_or(u32::MAX);
+        f64::from(slots.max(1)) / f64::from(servers.max(1))
+    }
+
+    /// Records a pause between two events of a response from `server`.
+    pub(super) fn record_pause(&mut self, server: ServerId, pause: Duration, now: Instant) {
+        if self.recently_paused(now) {
+            return;
+        }
+        let partition = &self.partition;
+        self.demand
+            .record_pause(pause, |class| partition.shares(server, class));
+    }
+
+    /// Removes prefixes that servers have probably evicted from their caches.
+    pub(super) fn expire_prefixes(&mut self, now: Instant) {
+        self.cached_prefixes.retain(|_, servers| {
+            servers.retain(|(_, at)| now.saturating_duration_since(*at) < PREFIX_TTL);
+            !servers.is_empty()
+        });
+    }
+}
--- a/crates/router/src/load/server.rs
+++ b/crates/router/src/load/server.rs
@@ -60,6 +60,15 @@
     Open { until: Instant, backoff: Duration },
 }
 
+/// Whether the configuration declares a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Declaration {
+    /// The configuration in effect declares it.
+    Current,
+    /// An earlier configuration declared it, and a request of this instance may still run there.
+    Removed,
+}
+
 /// State of one backend server as seen by this instance.
 #[derive(Debug)]
 pub struct Server {
@@ -67,6 +76,8 @@
     pub declared: BackendServer,
     /// Whether the server is in this instance's data centre.
     pub local: bool,
+    /// Whether the configuration still declares the server.
+    pub declaration: Declaration,
     reported_leaving: bool,
     peer_leaving_until: Option<Instant>,
     in_flight: u32,
@@ -88,6 +99,7 @@
         Self {
             declared,
             local,
+            declaration: Declaration::Current,
             reported_leaving: false,
             peer_leaving_until: None,
             in_flight: 0,
--- a/crates/router/tests/pool.rs
+++ b/crates/router/tests/pool.rs
@@ -310,6 +310,20 @@
     }
 }
 
+/// The configuration drops a server while a request runs there.
+#[tokio::test(start_paused = true)]
+async fn removed_server_is_dropped_with_its_last_request() {
+    let pool = pool(&[("a", 4)]);
+    let running = permit(acquire(&pool, admission(1, "o")).await).await;
+    pool.update_servers(&[], "north");
+    let kept = pool.has_servers();
+
+    drop(running);
+
+    assert!(kept);
+    assert!(!pool.has_servers());
+}
+
 #[tokio::test(start_paused = true)]
 async fn request_of_a_disconnected_caller_is_removed() {
     let pool = pool(&[("a", 1)]);
