Bound the demand in heartbeats, and remove the minimum of slots from the partition

A heartbeat carries the demand for one pool, another one each time, with six classes at most, so that its size doesn't grow with the number of pools.

--- a/crates/router/src/fleet/frame.rs
+++ b/crates/router/src/fleet/frame.rs
@@ -56,9 +56,9 @@
         digest: u64,
         /// The floors that the sender requests or has received from others.
         floors: Vec<Floor>,
-        /// The demand for the sender's pools; older builds don't send it.
-        #[serde(default, skip_serializing_if = "Vec::is_empty")]
-        demand: Vec<PoolDemand>,
+        /// The demand for one of the sender's pools; older builds don't send it.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        demand: Option<PoolDemand>,
     },
     /// Records of instances.
     #[serde(rename = "Facts")]
--- a/crates/router/src/fleet/link.rs
+++ b/crates/router/src/fleet/link.rs
@@ -371,7 +371,9 @@
                 demand,
             } => {
                 node.links.merge_floors(&floors);
-                node.pools.merge_demand(&demand);
+                if let Some(demand) = &demand {
+                    node.pools.merge_demand(demand);
+                }
                 let own = node.changelog.catalogue().number();
                 if number > own {
                     self.send(&Frame::RequestChanges(own)).await?;
--- a/crates/router/src/load/fleet_demand.rs
+++ b/crates/router/src/load/fleet_demand.rs
@@ -16,7 +16,7 @@
 /// Servers below which a class is forgotten.
 const SERVERS_MIN: f32 = 0.001;
 /// Classes that are exchanged between instances at most.
-const CLASSES_MAX: usize = 12;
+const CLASSES_MAX: usize = 6;
 
 /// Demand of one class, as exchanged between instances.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/crates/router/src/load/partition.rs
+++ b/crates/router/src/load/partition.rs
@@ -29,10 +29,8 @@
 const SEPARATE_RATIO: f64 = 0.25;
 /// The same for classes that already have servers of their own (hysteresis).
 const KEEP_RATIO: f64 = 0.1;
-/// Servers of a part relative to its demand, except for the last part, which gets the rest.
+/// Weight of the demand of all parts but the last.
 const HEADROOM: f64 = 1.5;
-/// Fraction of their share of the servers that parts keep whatever the parts before them need.
-const REST_SHARE_MIN: f64 = 0.6;
 /// Key by which servers are ranked.
 const RANK_KEY: u64 = 1;
 
@@ -49,8 +47,6 @@
     classes: Vec<SmolStr>,
     /// Servers that the classes keep busy.
     demand: f64,
-    /// Servers all of whose slots the classes take.
-    slot_servers: f64,
     /// Largest fraction of a class's responses that would be disturbed at shared servers.
     disturbed: f64,
 }
@@ -115,12 +111,7 @@
 
     /// Adapts the partition to the demand and to the servers, of which those that are leaving
     /// aren't ranked.
-    pub fn update(
-        &mut self,
-        servers: &SlotMap<ServerId, Server>,
-        demand: &[ClassSummary],
-        instances: f64,
-    ) {
+    pub fn update(&mut self, servers: &SlotMap<ServerId, Server>, demand: &[ClassSummary]) {
         let mut ranked: Vec<(u64, ServerId)> = servers
             .iter()
             .filter(|(_, s)| !s.declared.leaving)
@@ -128,7 +119,7 @@
             .collect();
         ranked.sort_unstable_by(|a, b| b.cmp(a));
         let parts = self.group(demand);
-        self.borders = borders(&parts, ranked.len(), instances, &self.borders);
+        self.borders = borders(&parts, ranked.len(), &self.borders);
         self.by_class = HashMap::new();
         for (index, part) in parts.iter().enumerate() {
             let classes = part.classes.iter().cloned();
@@ -175,7 +166,6 @@
             prefill_ms: summary.prefill_ms.into(),
             classes: vec![summary.class.clone()],
             demand: summary.servers().into(),
-            slot_servers: summary.slot_servers.into(),
             disturbed: summary.disturbed.into(),
         }
     }
@@ -185,16 +175,13 @@
         self.prefill_ms = self.prefill_ms.max(other.prefill_ms);
         self.classes.extend(other.classes);
         self.demand += other.demand;
-        self.slot_servers += other.slot_servers;
         self.disturbed = self.disturbed.max(other.disturbed);
     }
 }
 
 /// Divides `servers` ranks in proportion to the demand, of which that of all but the last part is
-/// weighted with `HEADROOM`. A part gets at least `HEADROOM` times the slots that its requests take,
-/// as far as the following parts keep `REST_SHARE_MIN` of their share. A border that has moved little
-/// since `before` stays.
-fn borders(parts: &[Part], servers: usize, instances: f64, before: &[usize]) -> Vec<usize> {
+/// weighted with `HEADROOM`. A border that has moved little since `before` stays.
+fn borders(parts: &[Part], servers: usize, before: &[usize]) -> Vec<usize> {
     let last = parts.len().saturating_sub(1);
     let weight = |n: usize, p: &Part| p.demand * if n < last { HEADROOM } else { 1.0 };
     let weights: Vec<f64> = parts
@@ -203,16 +190,10 @@
         .map(|(n, p)| weight(n, p))
         .collect();
     let total: f64 = weights.iter().sum::<f64>().max(f64::MIN_POSITIVE);
-    let servers_f = count(servers);
-    let mut border = 0.0_f64;
-    let mut share = 0.0_f64;
+    let mut border = 0.0;
     let mut borders = Vec::new();
-    for (index, part) in parts.iter().enumerate().take(last) {
-        let own = weights[index] / total;
-        share += own;
-        let most = servers_f * (1.0 - (1.0 - share) * REST_SHARE_MIN);
-        let slots = part.slot_servers * instances * HEADROOM;
-        border = (border + (own * servers_f).max(slots)).min(most);
+    for (index, weight) in weights.iter().take(last).enumerate() {
+        border += weight / total * count(servers);
         let same_parts = before.len() == last;
         let kept = before
             .get(index)
--- a/crates/router/src/load/pool/prompts.rs
+++ b/crates/router/src/load/pool/prompts.rs
@@ -97,8 +97,7 @@
         self.fleet_demand.observe(self.demand.summaries(slots));
         let before = self.partition.to_string();
         let demand = self.fleet_demand.summaries();
-        let instances = f64::from(self.instances);
-        self.partition.update(&self.servers, &demand, instances);
+        self.partition.update(&self.servers, &demand);
         let after = self.partition.to_string();
         if after != before {
             log::info!("partition={after} before={before}");
--- a/crates/router/src/load/pools.rs
+++ b/crates/router/src/load/pools.rs
@@ -1,6 +1,7 @@
 //! The pools of one instance, and which backend servers of each it uses.
 
 use std::collections::{BTreeMap, HashMap};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 
 use serde::{Deserialize, Serialize};
@@ -34,6 +35,8 @@
     data_centre: SmolStr,
     limits: Limits,
     by_name: Mutex<HashMap<SmolStr, Arc<Pool>>>,
+    /// Number of calls of [`Self::next_demand`].
+    demand_turn: AtomicUsize,
 }
 
 /// Demand for one pool, as exchanged between instances.
@@ -60,6 +63,7 @@
             data_centre: settings.data_centre.clone(),
             limits,
             by_name: Mutex::default(),
+            demand_turn: AtomicUsize::new(0),
         }
     }
 
@@ -92,25 +96,26 @@
         floors
     }
 
-    /// The demand for each pool, sorted by pool name. Pools without known demand are left out.
+    /// The demand for one of the pools, another one at each call, so that the size of a heartbeat doesn't
+    /// grow with the number of pools. Pools with fewer than two classes are left out.
     #[must_use]
-    pub fn demand(&self) -> Vec<PoolDemand> {
+    pub fn next_demand(&self) -> Option<PoolDemand> {
         let of_pool = |pool: &Arc<Pool>| PoolDemand {
             pool: pool.name().clone(),
             classes: pool.demand(),
         };
         let mut demand: Vec<PoolDemand> = self.all().iter().map(of_pool).collect();
-        demand.retain(|d| !d.classes.is_empty());
+        demand.retain(|d| d.classes.len() > 1);
         demand.sort_by(|a, b| a.pool.cmp(&b.pool));
-        demand
+        let turn = self.demand_turn.fetch_add(1, Ordering::Relaxed);
+        let index = turn.checked_rem(demand.len())?;
+        Some(demand.swap_remove(index))
     }
 
     /// Takes the demand known to a peer into account.
-    pub fn merge_demand(&self, peer: &[PoolDemand]) {
-        for demand in peer {
-            if let Some(pool) = self.get(&demand.pool) {
-                pool.merge_demand(&demand.classes);
-            }
+    pub fn merge_demand(&self, peer: &PoolDemand) {
+        if let Some(pool) = self.get(&peer.pool) {
+            pool.merge_demand(&peer.classes);
         }
     }
 
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -85,7 +85,7 @@
             number: self.changelog.catalogue().number(),
             digest: self.membership.digest(),
             floors: self.links.floors_to_send(self.pools.requested_floors()),
-            demand: self.pools.demand(),
+            demand: self.pools.next_demand(),
         }
     }
 
