--- a/crates/router/src/load/partition.rs
+++ b/crates/router/src/load/partition.rs
@@ -22,15 +22,11 @@
 /// Fraction of the pause target up to which a prefill doesn't disturb a response, as several
 /// prompts may be prefilled during one pause.
 const HARMLESS: f64 = 0.25;
-/// Change of a border, in servers, that is ignored (hysteresis).
-const BORDER_TOLERANCE: f64 = 0.75;
 /// Fraction of a class's responses that the prompts of others have to disturb before it gets servers
 /// of its own.
 const SEPARATE_RATIO: f64 = 0.25;
 /// The same for classes that already have servers of their own (hysteresis).
 const KEEP_RATIO: f64 = 0.1;
-/// Weight of the demand of all parts but the last.
-const HEADROOM: f64 = 1.5;
 /// Key by which servers are ranked.
 const RANK_KEY: u64 = 1;
 
@@ -58,18 +54,6 @@
     ((prefill_ms / gap_ms - HARMLESS) / (1.0 - HARMLESS)).clamp(0.0, 1.0)
 }
 
-impl fmt::Display for Partition {
-    /// Writes the classes of each part, and the rank at which its servers begin.
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let starts = std::iter::once(0).chain(self.borders.iter().copied());
-        for (n, (part, start)) in self.parts.iter().zip(starts).enumerate() {
-            let separator = if n == 0 { "" } else { ";" };
-            write!(f, "{separator}{start}:{}", part.classes.join("+"))?;
-        }
-        Ok(())
-    }
-}
-
 /// The servers' parts. By default all servers are in one part.
 #[derive(Clone, Debug, Default)]
 pub struct Partition {
@@ -119,7 +103,7 @@
             .collect();
         ranked.sort_unstable_by(|a, b| b.cmp(a));
         let parts = self.group(demand);
-        self.borders = borders(&parts, ranked.len(), &self.borders);
+        self.borders = borders(&parts, ranked.len());
         self.by_class = HashMap::new();
         for (index, part) in parts.iter().enumerate() {
             let classes = part.classes.iter().cloned();
@@ -159,6 +143,18 @@
     }
 }
 
+impl fmt::Display for Partition {
+    /// Writes the classes of each part, and the rank at which its servers begin.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let starts = std::iter::once(0).chain(self.borders.iter().copied());
+        for (n, (part, start)) in self.parts.iter().zip(starts).enumerate() {
+            let separator = if n == 0 { "" } else { ";" };
+            write!(f, "{separator}{start}:{}", part.classes.join("+"))?;
+        }
+        Ok(())
+    }
+}
+
 impl Part {
     fn new(summary: &ClassSummary) -> Self {
         Self {
@@ -179,32 +175,20 @@
     }
 }
 
-/// Divides `servers` ranks in proportion to the demand, of which that of all but the last part is
-/// weighted with `HEADROOM`. A border that has moved little since `before` stays.
-fn borders(parts: &[Part], servers: usize, before: &[usize]) -> Vec<usize> {
-    let last = parts.len().saturating_sub(1);
-    let weight = |n: usize, p: &Part| p.demand * if n < last { HEADROOM } else { 1.0 };
-    let weights: Vec<f64> = parts
-        .iter()
-        .enumerate()
-        .map(|(n, p)| weight(n, p))
-        .collect();
-    let total: f64 = weights.iter().sum::<f64>().max(f64::MIN_POSITIVE);
-    let mut border = 0.0;
+/// Divides `servers` ranks in proportion to the demand.
+fn borders(parts: &[Part], servers: usize) -> Vec<usize> {
+    let total: f64 = parts.iter().map(|p| p.demand).sum();
+    let mut demand = 0.0;
     let mut borders = Vec::new();
-    for (index, weight) in weights.iter().take(last).enumerate() {
-        border += weight / total * count(servers);
-        let same_parts = before.len() == last;
-        let kept = before
-            .get(index)
-            .filter(|b| same_parts && (count(**b) - border).abs() <= BORDER_TOLERANCE);
+    for part in parts.iter().take(parts.len().saturating_sub(1)) {
+        demand += part.demand;
+        let border = demand / total.max(f64::MIN_POSITIVE) * count(servers);
         #[expect(
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss,
             reason = "between 0 and the number of servers"
         )]
-        let rounded = border.round() as usize;
-        borders.push(kept.copied().unwrap_or(rounded).min(servers));
+        borders.push(border.round() as usize);
     }
     borders
 }
