--- a/crates/router/src/load/partition.rs
+++ b/crates/router/src/load/partition.rs
@@ -6,8 +6,8 @@
 //! waiting.
 //!
 //! Servers are ranked by rendezvous hashing with a constant key, and the ranks are divided in the
-//! order of the pause targets. Instances that observe the same mix of classes so arrive at the same
-//! partition without exchanging messages.
+//! order of the pause targets, so that instances with the same view of the demand have the same
+//! partition.
 
 use std::collections::HashMap;
 use std::fmt;
