--- a/crates/router/src/load/partition.rs
+++ b/crates/router/src/load/partition.rs
@@ -22,11 +22,17 @@
 /// Fraction of the pause target up to which a prefill doesn't disturb a response, as several
 /// prompts may be prefilled during one pause.
 const HARMLESS: f64 = 0.25;
+/// Change of a border, in servers, that is ignored (hysteresis).
+const BORDER_TOLERANCE: f64 = 0.75;
 /// Fraction of a class's responses that the prompts of others have to disturb before it gets servers
 /// of its own.
 const SEPARATE_RATIO: f64 = 0.25;
 /// The same for classes that already have servers of their own (hysteresis).
 const KEEP_RATIO: f64 = 0.1;
+/// Servers of a part relative to its demand, except for the last part, which gets the rest.
+const HEADROOM: f64 = 1.5;
+/// Fraction of their share of the servers that parts keep whatever the parts before them need.
+const REST_SHARE_MIN: f64 = 0.6;
 /// Key by which servers are ranked.
 const RANK_KEY: u64 = 1;
 
@@ -43,6 +49,8 @@
     classes: Vec<SmolStr>,
     /// Servers that the classes keep busy.
     demand: f64,
+    /// Servers all of whose slots the classes take.
+    slot_servers: f64,
     /// Largest fraction of a class's responses that would be disturbed at shared servers.
     disturbed: f64,
 }
@@ -54,6 +62,18 @@
     ((prefill_ms / gap_ms - HARMLESS) / (1.0 - HARMLESS)).clamp(0.0, 1.0)
 }
 
+impl fmt::Display for Partition {
+    /// Writes the classes of each part, and the rank at which its servers begin.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let starts = std::iter::once(0).chain(self.borders.iter().copied());
+        for (n, (part, start)) in self.parts.iter().zip(starts).enumerate() {
+            let separator = if n == 0 { "" } else { ";" };
+            write!(f, "{separator}{start}:{}", part.classes.join("+"))?;
+        }
+        Ok(())
+    }
+}
+
 /// The servers' parts. By default all servers are in one part.
 #[derive(Clone, Debug, Default)]
 pub struct Partition {
@@ -95,7 +115,12 @@
 
     /// Adapts the partition to the demand and to the servers, of which those that are leaving
     /// aren't ranked.
-    pub fn update(&mut self, servers: &SlotMap<ServerId, Server>, demand: &[ClassSummary]) {
+    pub fn update(
+        &mut self,
+        servers: &SlotMap<ServerId, Server>,
+        demand: &[ClassSummary],
+        instances: f64,
+    ) {
         let mut ranked: Vec<(u64, ServerId)> = servers
             .iter()
             .filter(|(_, s)| !s.declared.leaving)
@@ -103,7 +128,7 @@
             .collect();
         ranked.sort_unstable_by(|a, b| b.cmp(a));
         let parts = self.group(demand);
-        self.borders = borders(&parts, ranked.len());
+        self.borders = borders(&parts, ranked.len(), instances, &self.borders);
         self.by_class = HashMap::new();
         for (index, part) in parts.iter().enumerate() {
             let classes = part.classes.iter().cloned();
@@ -143,18 +168,6 @@
     }
 }
 
-impl fmt::Display for Partition {
-    /// Writes the classes of each part, and the rank at which its servers begin.
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let starts = std::iter::once(0).chain(self.borders.iter().copied());
-        for (n, (part, start)) in self.parts.iter().zip(starts).enumerate() {
-            let separator = if n == 0 { "" } else { ";" };
-            write!(f, "{separator}{start}:{}", part.classes.join("+"))?;
-        }
-        Ok(())
-    }
-}
-
 impl Part {
     fn new(summary: &ClassSummary) -> Self {
         Self {
@@ -162,6 +175,7 @@
             prefill_ms: summary.prefill_ms.into(),
             classes: vec![summary.class.clone()],
             demand: summary.servers().into(),
+            slot_servers: summary.slot_servers.into(),
             disturbed: summary.disturbed.into(),
         }
     }
@@ -171,24 +185,45 @@
         self.prefill_ms = self.prefill_ms.max(other.prefill_ms);
         self.classes.extend(other.classes);
         self.demand += other.demand;
+        self.slot_servers += other.slot_servers;
         self.disturbed = self.disturbed.max(other.disturbed);
     }
 }
 
-/// Divides `servers` ranks in proportion to the demand.
-fn borders(parts: &[Part], servers: usize) -> Vec<usize> {
-    let total: f64 = parts.iter().map(|p| p.demand).sum();
-    let mut demand = 0.0;
+/// Divides `servers` ranks in proportion to the demand, of which that of all but the last part is
+/// weighted with `HEADROOM`. A part gets at least `HEADROOM` times the slots that its requests take,
+/// as far as the following parts keep `REST_SHARE_MIN` of their share. A border that has moved little
+/// since `before` stays.
+fn borders(parts: &[Part], servers: usize, instances: f64, before: &[usize]) -> Vec<usize> {
+    let last = parts.len().saturating_sub(1);
+    let weight = |n: usize, p: &Part| p.demand * if n < last { HEADROOM } else { 1.0 };
+    let weights: Vec<f64> = parts
+        .iter()
+        .enumerate()
+        .map(|(n, p)| weight(n, p))
+        .collect();
+    let total: f64 = weights.iter().sum::<f64>().max(f64::MIN_POSITIVE);
+    let servers_f = count(servers);
+    let mut border = 0.0_f64;
+    let mut share = 0.0_f64;
     let mut borders = Vec::new();
-    for part in parts.iter().take(parts.len().saturating_sub(1)) {
-        demand += part.demand;
-        let border = demand / total.max(f64::MIN_POSITIVE) * count(servers);
+    for (index, part) in parts.iter().enumerate().take(last) {
+        let own = weights[index] / total;
+        share += own;
+        let most = servers_f * (1.0 - (1.0 - share) * REST_SHARE_MIN);
+        let slots = part.slot_servers * instances * HEADROOM;
+        border = (border + (own * servers_f).max(slots)).min(most);
+        let same_parts = before.len() == last;
+        let kept = before
+            .get(index)
+            .filter(|b| same_parts && (count(**b) - border).abs() <= BORDER_TOLERANCE);
         #[expect(
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss,
             reason = "between 0 and the number of servers"
         )]
-        borders.push(border.round() as usize);
+        let rounded = border.round() as usize;
+        borders.push(kept.copied().unwrap_or(rounded).min(servers));
     }
     borders
 }
--- a/crates/router/src/load/pool.rs
+++ b/crates/router/src/load/pool.rs
@@ -170,6 +170,7 @@
             demand: Demand::default(),
             fleet_demand: FleetDemand::default(),
             partition: Partition::default(),
+            instances: 1,
             partitioned: None,
             retry_tokens: RETRY_TOKENS_INITIAL,
             cached_prefixes: HashMap::new(),
@@ -402,6 +403,11 @@
         self.lock().fleet_demand.merge(peer);
     }
 
+    /// Sets the number of instances that send requests to the pool, this one included.
+    pub fn set_instances(&self, instances: usize) {
+        self.lock().instances = u32::try_from(instances.max(1)).unwrap_or(u32::MAX);
+    }
+
     /// Issues permits to waiting requests while servers have capacity, those of starving classes
     /// first.
     fn dispatch_waiting(self: &Arc<Self>) {
--- a/crates/router/src/load/pool/prompts.rs
+++ b/crates/router/src/load/pool/prompts.rs
@@ -97,7 +97,8 @@
         self.fleet_demand.observe(self.demand.summaries(slots));
         let before = self.partition.to_string();
         let demand = self.fleet_demand.summaries();
-        self.partition.update(&self.servers, &demand);
+        let instances = f64::from(self.instances);
+        self.partition.update(&self.servers, &demand, instances);
         let after = self.partition.to_string();
         if after != before {
             log::info!("partition={after} before={before}");
--- a/crates/router/src/load/pool/state.rs
+++ b/crates/router/src/load/pool/state.rs
@@ -94,6 +94,8 @@
     pub(super) demand: Demand,
     pub(super) fleet_demand: FleetDemand,
     pub(super) partition: Partition,
+    /// Instances that send requests to the pool.
+    pub(super) instances: u32,
     /// When the partition was last adapted to the demand.
     pub(super) partitioned: Option<Instant>,
     pub(super) retry_tokens: f64,
--- a/crates/router/src/reports.rs
+++ b/crates/router/src/reports.rs
@@ -32,6 +32,7 @@
             let hold = node.links.floor(pool.name(), FloorKind::Hold);
             let evict = node.links.floor(pool.name(), FloorKind::Evict);
             pool.set_floors(hold, evict);
+            pool.set_instances(node.membership.size());
             pool.tick();
         }
         let floors = node.pools.requested_floors();
