--- a/crates/router/src/load/pool.rs
+++ b/crates/router/src/load/pool.rs
@@ -451,7 +451,7 @@
         let (directive, receiver) = watch::channel(Directive::Continue);
         let level = admission.attributes.level;
         let uncached = state.record_prefix(server, admission.prefix_hash, prompt, now);
-        if prompt != Prompt::default() {
+        if prompt.is_known() {
             let class = &admission.attributes.class;
             state
                 .demand
--- a/crates/router/src/load/pool/prompts.rs
+++ b/crates/router/src/load/pool/prompts.rs
@@ -25,7 +25,7 @@
         request: &PromptRequest<'_>,
         now: Instant,
     ) -> Choice {
-        if request.prompt == Prompt::default() {
+        if !request.prompt.is_known() {
             return placement::choose(&self.servers, criteria, now, &mut self.rng);
         }
         let backlogs = self.backlogs(now);
--- a/crates/router/src/load/prompt_placement.rs
+++ b/crates/router/src/load/prompt_placement.rs
@@ -40,6 +40,14 @@
     pub unique: u32,
 }
 
+impl Prompt {
+    /// Whether the length is known.
+    #[must_use]
+    pub fn is_known(self) -> bool {
+        self != Self::default()
+    }
+}
+
 /// Requests of this instance at one server that have no first token yet.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Backlog {
@@ -111,23 +119,33 @@
             1 => SECOND_UNCACHED_RATIO,
             _ => 1.0,
         };
-        let uncached = f64::from(request.prompt.shared) * uncached_ratio;
-        let reprefill = load.demand.prefill_ms(uncached) * REPREFILL_WEIGHT;
-        let prefill = load
-            .demand
-            .prefill_ms(uncached + f64::from(request.prompt.unique));
-        let missed = if elsewhere(*id) {
-            missed_ms(request, prefill, *id, load.partition)
-        } else {
-            0.0
-        };
-        let delay = delay_ms(&servers[*id], *id, load, now);
-        (reprefill + delay + missed, *id)
+        let own_cost = prompt_cost_ms(request, uncached_ratio, *id, load);
+        (own_cost + delay_ms(&servers[*id], *id, load, now), *id)
     });
     let best = costs.min_by(|a, b| a.0.total_cmp(&b.0));
     best.map_or(Choice::Full, |(_, id)| Choice::Server(id))
 }
 
+/// Cost, in ms, of prefilling the prompt at a server that lacks a fraction of its shared prefix: the
+/// repeated prefill, and the latency targets that are missed because of the choice.
+fn prompt_cost_ms(
+    request: &PromptRequest<'_>,
+    uncached_ratio: f64,
+    server: ServerId,
+    load: &PoolLoad<'_>,
+) -> f64 {
+    let uncached = f64::from(request.prompt.shared) * uncached_ratio;
+    let unique = f64::from(request.prompt.unique);
+    let reprefill = load.demand.prefill_ms(uncached) * REPREFILL_WEIGHT;
+    let prefill = load.demand.prefill_ms(uncached + unique);
+    match load.partition.of_class(request.class) {
+        Some(own) if load.partition.of_server(server) != own => {
+            reprefill + missed_ms(request, prefill, server, load.partition)
+        }
+        _ => reprefill,
+    }
+}
+
 /// Cost, in ms, of sending a request to a server of another part: its latency target, as far as its
 /// prefill disturbs the responses there, or the prompts there disturb its response.
 fn missed_ms(
