Keep to the rate limits that backend servers name, over the whole fleet

Callers saw: a server in need that names one request a second went on getting its share of the load (LIMIT: 12 in 4 s, 11 allowed).

Cause: the header field was passed on and never read. Class of fault: what a server says of itself was known to each instance at most for itself, and nothing bound the sum over instances.

Change: a response's statement goes to the pool and, as a notice with a change number, to all instances. 1.2 holders for each request a second, by rendezvous over the members, send there alone, each an equal part, without anything saved up when parts change. The permit is the one gate: first sends, retries and resumed streams. Placement, partition and admission see the limit; with limits at all servers what can't be sent in time is refused at once, the least important tiers first. A limit ends only when a server says so to a request sent after it was heard of; holders prefer a server without news, and others ask in turn if the holders are idle. Protocol version 2 of the peers has the notices; older builds don't get them.

--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -61,6 +61,11 @@
         ],
         meaning: "the entry of a backend server was added or changed; the state is `ready`, `leaving`, `lapsed` (expired), `gone` or `unreadable`",
     },
+    EventSpec {
+        name: "server.limit",
+        fields: &["server", "state", "rate", "share", "number", "age_ms", "id"],
+        meaning: "the rate limit of a backend server was `named`, `changed` or has `ended`; `rate` is for all instances, `share` this instance's part, both in requests a second; `number` counts the changes; `id` is the request whose response said so, and absent if another instance told this one",
+    },
     EventSpec {
         name: "request.refused",
         fields: &["id", "host", "path", "cause", "config"],
@@ -87,13 +92,14 @@
             "waited_ms",
             "retry_after_ms",
             "attempts",
+            "limits",
             "first_ms",
             "events",
             "pause_ms",
             "after",
             "rate",
         ],
-        meaning: "a request ended; the outcome is `answered`, `refused`, `cut` or `caller_gone`; `attempts` lists the server and result of each attempt, `events` the number of streamed events and the time since the last, `first_ms` the time to the first, `pause_ms` the longest pause between two; a line with `rate=N` represents N such lines",
+        meaning: "a request ended; the outcome is `answered`, `refused`, `cut` or `caller_gone`; `attempts` lists the server and result of each attempt, `events` the number of streamed events and the time since the last, `first_ms` the time to the first, `pause_ms` the longest pause between two, `limits` the rate limit of each server that has one, with this instance's share and the time since it was heard of; a line with `rate=N` represents N such lines",
     },
 ];
 
--- a/crates/router/src/fleet/frame.rs
+++ b/crates/router/src/fleet/frame.rs
@@ -14,10 +14,10 @@
 use crate::fleet::claims::{Operation, Outcome};
 use crate::fleet::membership::InstanceRecord;
 pub use crate::load::admission_floors::FloorKind;
-use crate::load::pools::PoolDemand;
+use crate::load::pools::{PoolDemand, PoolLimits};
 
 /// Newest version of the peer protocol that this build supports.
-pub const PROTOCOL: u16 = 1;
+pub const PROTOCOL: u16 = 2;
 /// Oldest version of the peer protocol that this build supports.
 pub const PROTOCOL_MIN: u16 = 1;
 /// Maximum size of a sealed frame, in bytes.
@@ -104,6 +104,19 @@
         /// When the first instance received the notice, in ms since the Unix epoch.
         at_ms: u64,
     },
+    /// What was heard of the rate limits of backend servers.
+    RateLimits(Vec<PoolLimits>),
+}
+
+impl Frame {
+    /// The first version of the peer protocol that has this frame.
+    #[must_use]
+    pub const fn since(&self) -> u16 {
+        match self {
+            Self::RateLimits(_) => 2,
+            _ => 1,
+        }
+    }
 }
 
 /// The handshake message. The listener sends one without a proof, then the dialer sends one with
--- a/crates/router/src/fleet/link.rs
+++ b/crates/router/src/fleet/link.rs
@@ -50,6 +50,8 @@
     inbound: Seal,
     peer: InstanceRecord,
     registration: Registration,
+    /// The newest version of the peer protocol that both sides support.
+    protocol: u16,
     /// The objects of the configuration snapshot that is being received.
     snapshot: Vec<Object>,
     last_received: Instant,
@@ -239,13 +241,14 @@
         node.metrics.count(error.counter());
         return Err(Error::ConnectionClosed);
     }
+    let protocol = remote.protocol.min(PROTOCOL);
     let own = &node.settings.instance;
     if remote.record.id == *own {
         return Ok(None);
     }
     let Some((registration, frames)) =
         node.links
-            .register(own, &remote.record, side == Side::Dialer)
+            .register(own, &remote.record, side == Side::Dialer, protocol)
     else {
         return Ok(None);
     };
@@ -257,6 +260,7 @@
         inbound: Seal::new(key, side.other(), &nonces),
         peer: remote.record,
         registration,
+        protocol,
         snapshot: Vec::new(),
         last_received: Instant::now(),
         last_sync: None,
@@ -287,6 +291,10 @@
         heartbeat.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let all = self.node.membership.all();
         self.send(&Frame::Instances(all)).await?;
+        let limits = self.node.pools.limit_notices();
+        if !limits.is_empty() {
+            self.send(&Frame::RateLimits(limits)).await?;
+        }
         loop {
             tokio::select! {
                 message = self.socket.next() => {
@@ -345,6 +353,9 @@
     }
 
     async fn send(&mut self, frame: &Frame) -> Result<(), Option<LinkError>> {
+        if self.protocol < frame.since() {
+            return Ok(());
+        }
         let bytes = self.outbound.seal(frame);
         self.node.metrics.add("peers.bytes", bytes.len() as u64);
         let sent =
@@ -415,6 +426,7 @@
             Frame::ServerLeaving { server, at_ms } => {
                 node.mark_server_leaving(&server, at_ms, Some(&self.peer.id));
             }
+            Frame::RateLimits(limits) => node.pools.merge_limits(&limits),
         }
         Ok(())
     }
--- a/crates/router/src/fleet/links.rs
+++ b/crates/router/src/fleet/links.rs
@@ -56,6 +56,8 @@
     frames: mpsc::Sender<Frame>,
     record: InstanceRecord,
     dialed: bool,
+    /// The newest version of the peer protocol that both sides support.
+    protocol: u16,
     serial: u64,
 }
 
@@ -98,6 +100,7 @@
         own: &str,
         record: &InstanceRecord,
         dialed: bool,
+        protocol: u16,
     ) -> Option<(Registration, mpsc::Receiver<Frame>)> {
         let mut state = self.lock();
         if let Some(existing) = state.links.get(&record.id) {
@@ -115,6 +118,7 @@
             frames,
             record: record.clone(),
             dialed,
+            protocol,
             serial,
         };
         state.links.insert(record.id.clone(), link);
@@ -181,18 +185,21 @@
         self.lock().links.keys().cloned().collect()
     }
 
-    /// Sends a frame to every linked instance except `except`. Closes links whose send queue is
-    /// full.
+    /// Sends a frame to every linked instance except `except` and those whose build doesn't know the
+    /// frame. Closes links whose send queue is full.
     pub fn broadcast(&self, frame: &Frame, except: Option<&str>) {
         let mut state = self.lock();
         state.links.retain(|id, link| {
-            except == Some(id.as_str()) || link.frames.try_send(frame.clone()).is_ok()
+            let skipped = except == Some(id.as_str()) || link.protocol < frame.since();
+            skipped || link.frames.try_send(frame.clone()).is_ok()
         });
     }
 
-    /// Sends a frame to one instance, if it is linked.
+    /// Sends a frame to one instance, if it is linked and its build knows the frame.
     pub fn send(&self, id: &str, frame: Frame) {
-        if let Some(link) = self.lock().links.get(id) {
+        let state = self.lock();
+        let link = state.links.get(id);
+        if let Some(link) = link.filter(|link| link.protocol >= frame.since()) {
             // If the send queue is full, the frame is dropped; the next broadcast closes the link.
             let _ = link.frames.try_send(frame);
         }
--- a/crates/router/src/forward/access_log.rs
+++ b/crates/router/src/forward/access_log.rs
@@ -14,6 +14,8 @@
 use super::request::Request;
 use crate::error::Fault;
 use crate::event::{self, Line};
+use crate::load::pool::Permit;
+use crate::load::rate_limit::Usage;
 use crate::metrics::{Metrics, RequestSummary};
 
 /// How a request ended.
@@ -48,6 +50,8 @@
     started: Duration,
     /// Why it failed; `None` if it succeeded or is still running.
     failure: Option<Failure>,
+    /// How it counts under the server's rate limit; `None` if it has none.
+    usage: Option<Usage>,
 }
 
 /// The access log entry of one request; written when dropped.
@@ -90,11 +94,12 @@
     }
 
     /// Records the start of an attempt.
-    pub fn start_attempt(&mut self, server: &smol_str::SmolStr) {
+    pub fn start_attempt(&mut self, permit: &Permit) {
         self.attempts.push(Attempt {
-            server: server.clone(),
+            server: permit.declared.name.clone(),
             started: self.request.received.elapsed(),
             failure: None,
+            usage: permit.usage,
         });
     }
 
@@ -145,6 +150,28 @@
         text
     }
 
+    /// The rate limits of the servers that the request was sent to, as `SERVER:RATE/SHARE@AGE`; `None` if they
+    /// had none.
+    fn limits(&self) -> Option<String> {
+        let mut text = String::new();
+        for attempt in &self.attempts {
+            let Some(usage) = attempt.usage else {
+                continue;
+            };
+            let separator = if text.is_empty() { "" } else { "," };
+            // Writing to a `String` never fails.
+            let _ = write!(
+                text,
+                "{separator}{}:{}/{}@{}ms",
+                attempt.server,
+                usage.rate,
+                usage.share,
+                usage.age.as_millis()
+            );
+        }
+        (!text.is_empty()).then_some(text)
+    }
+
     /// Builds the `request.end` line; `rate` is the number of requests that the line stands for.
     fn build_line(&self, rate: u32) -> Line {
         let (status, fault) = match &self.outcome {
@@ -173,6 +200,7 @@
             .field("waited_ms", self.waited.as_millis())
             .optional_field("retry_after_ms", retry)
             .field("attempts", self.attempts())
+            .optional_field("limits", self.limits())
             .optional_field("first_ms", self.first_event.map(|d| d.as_millis()))
             .optional_field("events", events)
             .optional_field(
@@ -200,8 +228,9 @@
             waited: self.waited,
         });
         let succeeded = matches!(&self.outcome, Outcome::Answered(s) if !s.is_server_error());
-        // Only lines on requests that succeeded at the first attempt are sampled.
-        let first_try = succeeded && self.attempts.len() == 1;
+        // Only lines on requests that succeeded at the first attempt, without a rate limit, are sampled.
+        let limited = self.attempts.iter().any(|a| a.usage.is_some());
+        let first_try = succeeded && self.attempts.len() == 1 && !limited;
         let rate = if first_try { event::sample() } else { Some(1) };
         if let Some(rate) = rate {
             self.build_line(rate)
--- a/crates/router/src/forward/attempt.rs
+++ b/crates/router/src/forward/attempt.rs
@@ -5,7 +5,7 @@
 use http_body_util::Full;
 use tokio::time::Instant;
 
-use super::backend_protocol::{AttemptMetadata, BackendProtocol, ResponseClass};
+use super::backend_protocol::{AttemptMetadata, BackendProtocol, RateStatement, ResponseClass};
 use super::connection_pool::{self, BackendResponse, ConnectionPool};
 use super::request::{EventId, Request};
 use crate::load::pool::Permit;
@@ -92,7 +92,9 @@
     if let Some(report) = protocol.load_report(&response.head.headers) {
         permit.record_load(report);
     }
-    match protocol.classify(request, &response.head) {
+    let class = protocol.classify(request, &response.head);
+    record_rate_limit(protocol, request, permit, &response, class);
+    match class {
         ResponseClass::Answered => Ok(response),
         ResponseClass::NotRun => Err(Failure::NotRun),
         ResponseClass::WrongServer => Err(Failure::WrongServer),
@@ -100,6 +102,30 @@
     }
 }
 
+/// Records what the response says of the server's rate limit. A response that refuses the request may lack
+/// a limit that is still in force, and one from elsewhere says nothing.
+fn record_rate_limit<P: BackendProtocol>(
+    protocol: &P,
+    request: &Request,
+    permit: &Permit,
+    response: &BackendResponse,
+    class: ResponseClass,
+) {
+    match (class, protocol.rate_limit(&response.head.headers)) {
+        (ResponseClass::Answered | ResponseClass::NotRun, RateStatement::Limited(rate)) => {
+            permit.record_rate_limit(Some(rate), &request.id);
+        }
+        (ResponseClass::Answered, RateStatement::Unlimited) => {
+            permit.record_rate_limit(None, &request.id);
+        }
+        (_, RateStatement::Unreadable) => {
+            let server = &permit.declared.name;
+            log::warn!("server={server} limit=unreadable id={}", request.id);
+        }
+        _ => {}
+    }
+}
+
 fn build_request<P: BackendProtocol>(
     protocol: &P,
     request: &Request,
--- a/crates/router/src/forward/backend_protocol.rs
+++ b/crates/router/src/forward/backend_protocol.rs
@@ -7,6 +7,7 @@
 
 use super::request::{EventId, Request};
 use crate::config::object::{BackendServer, Level};
+use crate::load::rate_limit::Rate;
 use crate::load::server::LoadReport;
 
 /// What is sent with one attempt in addition to the caller's request.
@@ -35,6 +36,17 @@
     Foreign,
 }
 
+/// What a response says of its backend server's limit on the requests that it takes from all instances.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum RateStatement {
+    /// The server takes requests at this rate.
+    Limited(Rate),
+    /// The server has no limit.
+    Unlimited,
+    /// The response names a limit that isn't a rate.
+    Unreadable,
+}
+
 /// Encodes requests to, and interprets responses of, one kind of backend server.
 pub trait BackendProtocol: Send + Sync + 'static {
     /// Returns the header fields of an attempt.
@@ -45,4 +57,7 @@
 
     /// Returns the load report in the header fields of a response; `None` if there is none.
     fn load_report(&self, headers: &HeaderMap) -> Option<LoadReport>;
+
+    /// Returns what the header fields of a response say of the server's rate limit.
+    fn rate_limit(&self, headers: &HeaderMap) -> RateStatement;
 }
--- a/crates/router/src/forward/forwarder.rs
+++ b/crates/router/src/forward/forwarder.rs
@@ -204,7 +204,7 @@
         let mut unsent = 0;
         loop {
             let permit = self.acquire_permit().await?;
-            self.log.start_attempt(&permit.declared.name);
+            self.log.start_attempt(&permit);
             let result = self.run_attempt(&permit).await?;
             let failure = match result {
                 AttemptResult::Done(status) => return Ok(status),
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -30,7 +30,7 @@
 pub use fleet::{advertisement, claims, frame, leaving_servers, link, membership};
 pub use load::{
     admission_floors, demand, fleet_demand, partition, placement, pool, pools, prompt_placement,
-    queue, server,
+    queue, rate_limit, server,
 };
 pub use request::{
     admitted, backend, claim, execution, inference, relay, response, service, token,
--- a/crates/router/src/load/mod.rs
+++ b/crates/router/src/load/mod.rs
@@ -2,6 +2,7 @@
 //! holds. This module does no network I/O.
 
 pub mod admission_floors;
+pub mod arrival_rates;
 pub mod budget;
 pub mod demand;
 pub mod fleet_demand;
@@ -12,4 +13,5 @@
 pub mod prompt_placement;
 pub mod quantile;
 pub mod queue;
+pub mod rate_limit;
 pub mod server;
--- a/crates/router/src/load/partition.rs
+++ b/crates/router/src/load/partition.rs
@@ -113,8 +113,8 @@
         &self.parts
     }
 
-    /// Adapts the partition to the demand and to the servers, of which those that are leaving
-    /// aren't ranked.
+    /// Adapts the partition to the demand and to the servers, of which those that are leaving or
+    /// constrained by a rate limit aren't ranked.
     pub fn update(
         &mut self,
         servers: &SlotMap<ServerId, Server>,
@@ -123,7 +123,7 @@
     ) {
         let mut ranked: Vec<(u64, ServerId)> = servers
             .iter()
-            .filter(|(_, s)| !s.declared.leaving)
+            .filter(|(_, s)| !s.declared.leaving && !s.is_constrained())
             .map(|(id, s)| (rendezvous::weight(RANK_KEY, s.name()), id))
             .collect();
         ranked.sort_unstable_by(|a, b| b.cmp(a));
--- a/crates/router/src/load/placement.rs
+++ b/crates/router/src/load/placement.rs
@@ -89,7 +89,7 @@
 pub(super) fn has_room(server: &Server, criteria: &Criteria<'_>, now: Instant) -> bool {
     let allowance = criteria.max_unstarted + u32::from(criteria.guard);
     let below_allowance = server.unstarted(criteria.level) < allowance;
-    server.available(now) && (server.free_slots(now) > 0 || below_allowance)
+    server.accepts(now) && (server.free_slots(now) > 0 || below_allowance)
 }
 
 fn score(server: &Server, now: Instant) -> f64 {
--- a/crates/router/src/load/pool.rs
+++ b/crates/router/src/load/pool.rs
@@ -6,7 +6,7 @@
 //! first token) at each server, and the rest in its own queue. Unstarted requests of less important
 //! tiers don't delay a more important request.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -20,6 +20,7 @@
 use crate::config::object::{BackendServer, Level};
 use crate::error::{Fault, Kind};
 use crate::load::admission_floors::{AdmissionFloors, FloorKind};
+use crate::load::arrival_rates::ArrivalRates;
 use crate::load::demand::Demand;
 use crate::load::fleet_demand::{ClassSummary, FleetDemand};
 use crate::load::partition::Partition;
@@ -33,6 +34,7 @@
 mod periodic;
 mod permit;
 mod prompts;
+mod rate_limits;
 mod state;
 
 pub use permit::Permit;
@@ -120,6 +122,8 @@
     pub servers: usize,
     /// Servers that take new requests.
     pub available: usize,
+    /// Servers with a rate limit.
+    pub limited: usize,
 }
 
 type PendingReply = (
@@ -167,10 +171,14 @@
             grants: SlotMap::with_key(),
             classes: HashMap::new(),
             floors: AdmissionFloors::default(),
+            arrivals: ArrivalRates::default(),
             demand: Demand::default(),
             fleet_demand: FleetDemand::default(),
             partition: Partition::default(),
             instances: 1,
+            members: Arc::default(),
+            undeclared_limits: HashMap::new(),
+            announcements: BTreeSet::new(),
             partitioned: None,
             retry_tokens: RETRY_TOKENS_INITIAL,
             cached_prefixes: HashMap::new(),
@@ -196,6 +204,7 @@
     /// as leaving, and dropped as soon as they have no request of this instance.
     /// `data_centre` is that of this instance.
     pub fn update_servers(self: &Arc<Self>, declared: &[&BackendServer], data_centre: &str) {
+        let now = Instant::now();
         let mut state = self.lock();
         let removed: Vec<ServerId> = state
             .servers
@@ -207,7 +216,7 @@
             state.servers[id].declared.leaving = true;
             state.servers[id].declaration = Declaration::Removed;
             if state.servers[id].in_flight() == 0 {
-                state.servers.remove(id);
+                state.remove_server(id);
             }
         }
         for server in declared {
@@ -220,7 +229,7 @@
                 known.declaration = Declaration::Current;
             } else {
                 let local = server.data_centre == data_centre;
-                state.servers.insert(Server::new((*server).clone(), local));
+                state.add_server(Server::new((*server).clone(), local), now);
             }
         }
         drop(state);
@@ -250,6 +259,11 @@
         let id = {
             let mut state = self.lock();
             admission.attributes.cost = state.cost(&admission.attributes.class);
+            state.arrivals.record(admission.attributes.level, now);
+            if let Some(fault) = state.check_rate_limits(&admission, now) {
+                self.metrics.count("shed.rate_limit");
+                return Err(fault);
+            }
             if let Some(fault) = state.check_admission(&admission, now) {
                 self.metrics.count("shed.floor");
                 return Err(fault);
@@ -373,6 +387,7 @@
             in_flight: state.grants.len(),
             servers: state.servers.len(),
             available: state.servers.values().filter(|s| s.available(now)).count(),
+            limited: state.servers.values().filter(|s| s.is_limited()).count(),
         }
     }
 
@@ -470,12 +485,17 @@
         });
         let known = &mut state.servers[server];
         known.record_sent(level);
+        let usage = known.rate_limit_mut().and_then(|limit| limit.take(now));
+        if usage.is_some() {
+            self.metrics.count("rate_limit.sent");
+        }
         Permit {
             pool: Arc::clone(self),
             grant,
             server,
             declared: known.declared.clone(),
             priority: if guard { 0 } else { level },
+            usage,
             directive: receiver,
         }
     }
@@ -542,7 +562,7 @@
                 server.record_preemptible(grant.attributes.level, false);
             }
             if server.declaration == Declaration::Removed && server.in_flight() == 0 {
-                state.servers.remove(grant.server);
+                state.remove_server(grant.server);
             }
         }
         drop(state);
--- a/crates/router/src/load/pool/permit.rs
+++ b/crates/router/src/load/pool/permit.rs
@@ -12,6 +12,7 @@
     ServerId,
 };
 use crate::config::object::{BackendServer, Level};
+use crate::load::rate_limit::{Rate, Usage};
 use crate::load::server::LoadReport;
 
 /// Permit to send one request to one server, released on drop.
@@ -26,6 +27,8 @@
     /// Priority to send with the request; 0 is the most important, also used for requests of a
     /// starving class.
     pub priority: Level,
+    /// How the request counts under the server's rate limit; `None` if it has none.
+    pub usage: Option<Usage>,
     /// Latest instruction of the pool to the request.
     pub directive: watch::Receiver<Directive>,
 }
@@ -54,6 +57,11 @@
         self.pool.record_load(self.server, report);
     }
 
+    /// Records what the response to the request `id` says of the server's rate limit; `None` if it has none.
+    pub fn record_rate_limit(&self, rate: Option<Rate>, id: &str) {
+        self.pool.record_rate_limit(self.grant, rate, id);
+    }
+
     /// Records the mean inter-token gap over a part of the response, in ms. Ignored while or
     /// shortly after this instance itself was paused.
     pub fn record_gap(&self, gap_ms: f64) {
--- a/crates/router/src/load/pool/state.rs
+++ b/crates/router/src/load/pool/state.rs
@@ -1,6 +1,7 @@
 //! State of a pool behind its lock, and the scheduling decisions based on it.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
+use std::sync::Arc;
 use std::time::Duration;
 
 use rand::rngs::SmallRng;
@@ -13,12 +14,14 @@
 use crate::config::object::Level;
 use crate::error::{Fault, Kind};
 use crate::load::admission_floors::AdmissionFloors;
+use crate::load::arrival_rates::ArrivalRates;
 use crate::load::demand::Demand;
 use crate::load::fleet_demand::FleetDemand;
 use crate::load::partition::Partition;
 use crate::load::placement::{Choice, Criteria};
 use crate::load::prompt_placement::{Prompt, PromptRequest};
 use crate::load::queue::{EntryId, Queue, RequestAttributes};
+use crate::load::rate_limit::{Members, Statement};
 use crate::load::server::Server;
 
 /// Fraction of the starvation bound without progress after which the starvation guard acts for a
@@ -88,6 +91,7 @@
     pub(super) grants: SlotMap<GrantId, Grant>,
     pub(super) classes: HashMap<SmolStr, ClassStats>,
     pub(super) floors: AdmissionFloors,
+    pub(super) arrivals: ArrivalRates,
     /// Servers assumed to have a prefix cached, by its hash, with the time of the last request that
     /// used it.
     pub(super) cached_prefixes: HashMap<u64, Vec<(ServerId, Instant)>>,
@@ -96,6 +100,12 @@
     pub(super) partition: Partition,
     /// Instances that send requests to the pool.
     pub(super) instances: u32,
+    /// The instances among which rate limits are divided.
+    pub(super) members: Arc<Members>,
+    /// What was heard of the rate limits of servers that aren't declared yet, or not any more.
+    pub(super) undeclared_limits: HashMap<SmolStr, Statement>,
+    /// Servers whose rate limits are to be announced to the other instances.
+    pub(super) announcements: BTreeSet<SmolStr>,
     /// When the partition was last adapted to the demand.
     pub(super) partitioned: Option<Instant>,
     pub(super) retry_tokens: f64,
@@ -143,6 +153,9 @@
             prefer: admission.prefer,
             max_unstarted,
         };
+        if let Some(server) = self.server_to_recheck(&criteria, now) {
+            return Choice::Server(server);
+        }
         let request = PromptRequest {
             prompt,
             class: &admission.attributes.class,
--- a/crates/router/src/load/pools.rs
+++ b/crates/router/src/load/pools.rs
@@ -12,6 +12,7 @@
 use crate::load::admission_floors::FloorKind;
 use crate::load::fleet_demand::ClassSummary;
 use crate::load::pool::{Limits, Pool, Preemption, ServerId};
+use crate::load::rate_limit::{Members, Notice};
 use crate::metrics::Metrics;
 use crate::rendezvous;
 use crate::settings::Settings;
@@ -50,6 +51,17 @@
     pub classes: Vec<ClassSummary>,
 }
 
+/// What was heard of the rate limits of one pool's servers, as exchanged between instances.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PoolLimits {
+    /// Name of the pool.
+    #[serde(rename = "p")]
+    pub pool: SmolStr,
+    /// The limits.
+    #[serde(rename = "l")]
+    pub limits: Vec<Notice>,
+}
+
 impl Pools {
     /// Creates an empty set of pools.
     #[must_use]
@@ -119,6 +131,43 @@
         }
     }
 
+    /// Sets the instances among which the rate limits of servers are divided.
+    pub fn set_members(&self, members: &Arc<Members>) {
+        for pool in self.all() {
+            pool.set_members(Arc::clone(members));
+        }
+    }
+
+    /// Takes the notices of rate limits that are due to be sent to the other instances.
+    #[must_use]
+    pub fn take_limit_notices(&self) -> Vec<PoolLimits> {
+        self.collect_limits(Pool::take_limit_notices)
+    }
+
+    /// Notices of all rate limits in force, for an instance that has just been linked.
+    #[must_use]
+    pub fn limit_notices(&self) -> Vec<PoolLimits> {
+        self.collect_limits(Pool::limit_notices)
+    }
+
+    fn collect_limits(&self, notices: impl Fn(&Pool) -> Vec<Notice>) -> Vec<PoolLimits> {
+        let pools = self.all();
+        let collected = pools.iter().map(|pool| PoolLimits {
+            pool: pool.name().clone(),
+            limits: notices(pool),
+        });
+        collected.filter(|p| !p.limits.is_empty()).collect()
+    }
+
+    /// Takes into account what a peer has heard of rate limits.
+    pub fn merge_limits(&self, peer: &[PoolLimits]) {
+        for PoolLimits { pool, limits } in peer {
+            if let Some(pool) = self.get(pool) {
+                pool.merge_limits(limits);
+            }
+        }
+    }
+
     /// Updates all pools to the servers of a configuration, and returns the servers that were
     /// added. Pools that it doesn't name lose their servers.
     pub fn update_servers(&self, metrics: &Arc<Metrics>, catalogue: &Catalogue) -> Vec<NewServer> {
--- a/crates/router/src/load/prompt_placement.rs
+++ b/crates/router/src/load/prompt_placement.rs
@@ -102,7 +102,7 @@
     let elsewhere = |id| own.is_some_and(|part| load.partition.of_server(id) != part);
     let mut order: Vec<(bool, u64, ServerId)> = servers
         .iter()
-        .filter(|(_, s)| s.available(now))
+        .filter(|(_, s)| s.accepts(now))
         .map(|(id, s)| {
             let weight = rendezvous::weight(criteria.prefix_hash, s.name());
             (!elsewhere(id), weight, id)
--- a/crates/router/src/load/queue.rs
+++ b/crates/router/src/load/queue.rs
@@ -131,6 +131,13 @@
         self.class_counts.get(class).copied().unwrap_or_default()
     }
 
+    /// Number of waiting requests of a tier and of the more important ones.
+    #[must_use]
+    pub fn len_up_to(&self, level: Level) -> usize {
+        let flows = self.active_flows.range(..=level).flat_map(|(_, f)| f);
+        flows.map(|(_, _, _, id)| self.flows[*id].waiting).sum()
+    }
+
     /// Priority levels of the tiers that have waiting requests, the most important first.
     #[must_use]
     pub fn levels(&self) -> impl DoubleEndedIterator<Item = Level> + '_ {
--- a/crates/router/src/load/server.rs
+++ b/crates/router/src/load/server.rs
@@ -9,6 +9,7 @@
 use tokio::time::Instant;
 
 use crate::config::object::{BackendServer, Level};
+use crate::load::rate_limit::{LimitChange, Members, Rate, RateLimit};
 
 new_key_type! {
     /// Key of a backend server in its pool.
@@ -90,6 +91,8 @@
     gap_samples: u32,
     straggling: bool,
     circuit: Circuit,
+    /// What is known of the server's rate limit; `None` if it never named one.
+    rate_limit: Option<RateLimit>,
 }
 
 impl Server {
@@ -111,6 +114,7 @@
             gap_samples: 0,
             straggling: false,
             circuit: Circuit::Closed,
+            rate_limit: None,
         }
     }
 
@@ -137,6 +141,58 @@
         closed && !self.leaving(now)
     }
 
+    /// Whether the server takes a new request now: it is available, and its rate limit leaves room for one of
+    /// this instance.
+    #[must_use]
+    pub fn accepts(&self, now: Instant) -> bool {
+        self.available(now) && self.rate_limit.is_none_or(|limit| limit.is_open(now))
+    }
+
+    /// What is known of the server's rate limit; `None` if it never named one.
+    #[must_use]
+    pub const fn rate_limit(&self) -> Option<&RateLimit> {
+        self.rate_limit.as_ref()
+    }
+
+    /// As [`Self::rate_limit`], to change it.
+    pub const fn rate_limit_mut(&mut self) -> Option<&mut RateLimit> {
+        self.rate_limit.as_mut()
+    }
+
+    /// Whether the server names a rate limit.
+    #[must_use]
+    pub fn is_limited(&self) -> bool {
+        self.rate().is_some()
+    }
+
+    /// Whether the rate limit leaves the server less than one request a second for each slot.
+    #[must_use]
+    pub fn is_constrained(&self) -> bool {
+        let slots = f64::from(self.declared.slots);
+        self.rate().is_some_and(|rate| rate < slots)
+    }
+
+    fn rate(&self) -> Option<Rate> {
+        self.rate_limit.and_then(|limit| limit.rate())
+    }
+
+    /// Changes what is known of the server's rate limit, and adapts this instance's part in it.
+    pub fn update_rate_limit(
+        &mut self,
+        change: impl FnOnce(&mut RateLimit) -> LimitChange,
+        members: &Members,
+        now: Instant,
+    ) -> LimitChange {
+        let limit = self
+            .rate_limit
+            .get_or_insert_with(|| RateLimit::unlimited(now));
+        let changed = change(limit);
+        if changed != LimitChange::None {
+            limit.assign(&self.declared.name, members, now);
+        }
+        changed
+    }
+
     /// Whether the server is leaving according to the configuration, its last load report or a
     /// peer's notice.
     #[must_use]
--- a/crates/router/src/reports.rs
+++ b/crates/router/src/reports.rs
@@ -6,8 +6,10 @@
 use tokio::time::Instant;
 
 use crate::config::changelog;
+use crate::fleet::frame::Frame;
 use crate::load::admission_floors::FloorKind;
 use crate::load::pools::NewServer;
+use crate::load::rate_limit::Members;
 use crate::node::Node;
 
 /// Polling interval of the load report of one backend server.
@@ -26,8 +28,14 @@
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut sent_floors = Vec::new();
     let mut sent_at = Instant::now();
+    let mut digest = None;
     loop {
         interval.tick().await;
+        let known = Some((node.membership.digest(), node.pools.all().len()));
+        if digest != known {
+            digest = known;
+            node.pools.set_members(&Arc::new(members(&node)));
+        }
         for pool in node.pools.all() {
             let hold = node.links.floor(pool.name(), FloorKind::Hold);
             let evict = node.links.floor(pool.name(), FloorKind::Evict);
@@ -35,6 +43,10 @@
             pool.set_instances(node.membership.size());
             pool.tick();
         }
+        let limits = node.pools.take_limit_notices();
+        if !limits.is_empty() {
+            node.links.broadcast(&Frame::RateLimits(limits), None);
+        }
         let floors = node.pools.requested_floors();
         if floors != sent_floors && sent_at.elapsed() >= MIN_BROADCAST_INTERVAL {
             node.links.broadcast(&node.heartbeat(), None);
@@ -44,6 +56,12 @@
     }
 }
 
+/// The instances among which rate limits are divided: those that are expected to take requests for a while.
+fn members(node: &Node) -> Members {
+    let alive = node.membership.alive().into_iter().map(|r| r.id);
+    Members::new(node.settings.instance.clone(), alive)
+}
+
 /// Spawns a task for each of `servers` that polls its load report until it is removed from its pool.
 pub fn spawn_polls(node: &Arc<Node>, servers: Vec<NewServer>) {
     for server in servers {
--- a/crates/router/tests/frames.rs
+++ b/crates/router/tests/frames.rs
@@ -6,7 +6,8 @@
 use jackdawtally::fleet_demand::ClassSummary;
 use jackdawtally::frame::{self, Floor, FloorKind, Frame, Hello, LinkError, Seal, Side};
 use jackdawtally::object::{Change, Edit, Object};
-use jackdawtally::pools::PoolDemand;
+use jackdawtally::pools::{PoolDemand, PoolLimits};
+use jackdawtally::rate_limit::Notice;
 use uuid::Uuid;
 
 const KEY: &str = "0123456789abcdef";
@@ -91,6 +92,15 @@
             server: "e".into(),
             at_ms: 8,
         },
+        Frame::RateLimits(vec![PoolLimits {
+            pool: "model/m".into(),
+            limits: vec![Notice {
+                server: "e".into(),
+                rate: Some(0.5),
+                sequence: 3,
+                age_ms: 70,
+            }],
+        }]),
     ]
 }
 
--- a/crates/router/tests/links.rs
+++ b/crates/router/tests/links.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use jackdawtally::fleet::links::{self, DialOutcome, PeerLinks};
+use jackdawtally::frame::Frame;
 use jackdawtally::membership::{InstanceId, InstanceRecord, InstanceState, Membership};
 
 /// Number of instances; in such a fleet each may have only a few hundredths of a CPU core.
@@ -129,3 +130,23 @@
 
     assert_eq!(attempted.len(), FLEET_SIZE - 1);
 }
+
+/// A link to an instance of an older build was closed by the first frame that this build can't decode.
+#[tokio::test]
+async fn peers_of_an_older_build_get_only_frames_that_they_know() {
+    let links = PeerLinks::default();
+    let register = |n: usize, protocol: u16| {
+        let record = instance_record(n, InstanceState::Alive);
+        links.register("entry-0", &record, true, protocol)
+    };
+    let (_, mut old) = register(1, 1).expect("the link is new");
+    let (_, mut new) = register(2, 2).expect("the link is new");
+    let limits = Frame::RateLimits(Vec::new());
+
+    links.broadcast(&limits, None);
+    links.send(&name(1), limits.clone());
+    links.broadcast(&Frame::RequestInstances, None);
+
+    assert_eq!(old.recv().await, Some(Frame::RequestInstances));
+    assert_eq!(new.recv().await, Some(limits));
+}
--- /dev/null
+++ b/crates/standins/tests/rate_limits.rs
@@ -0,0 +1,459 @@
+//! Fleets of 1 to 490 instances before backend servers that name a limit on the requests a second that they
+//! take from all instances together. The pools are real; servers, callers, links and time are simulated.
+
+use std::collections::VecDeque;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use jackdawtally::metrics::Metrics;
+use jackdawtally::object::{BackendServer, Level};
+use jackdawtally::pool::{AdmissionRequest, Limits, Pool, Preemption};
+use jackdawtally::prompt_placement::Prompt;
+use jackdawtally::queue::RequestAttributes;
+use jackdawtally::rate_limit::{Members, Notice, RateLimit};
+use jackdawtally_standins::rate_check::RateRecord;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use smol_str::{SmolStr, format_smolstr};
+use tokio::time::Instant;
+
+/// Simulated time between two steps.
+const STEP: Duration = Duration::from_millis(20);
+/// Time that a server takes for a request.
+const SERVICE_TIME: Duration = Duration::from_millis(150);
+/// Time that a notice takes over one link.
+const LINK_DELAY: Duration = Duration::from_millis(40);
+/// Links of an instance in a large fleet.
+const LINKS: usize = 6;
+/// Longest wait of a request in the queue.
+const MAX_WAIT: Duration = Duration::from_millis(1_200);
+/// Number of prompt prefixes that requests share.
+const PREFIXES: u64 = 64;
+/// Number of tiers, of which each has the same load.
+const TIERS: u8 = 3;
+
+/// Requests of one tier by outcome.
+#[derive(Clone, Copy, Debug, Default)]
+struct Outcomes {
+    served: usize,
+    refused: usize,
+    /// Refusals that came later than half of the longest wait.
+    refused_late: usize,
+}
+
+#[derive(Default)]
+struct Observed {
+    records: Vec<RateRecord>,
+    limits: Vec<Option<f64>>,
+    outcomes: [Outcomes; TIERS as usize],
+}
+
+#[derive(Clone, Default)]
+struct World(Arc<Mutex<Observed>>);
+
+impl World {
+    fn lock(&self) -> MutexGuard<'_, Observed> {
+        self.0.lock().expect("the mutex is not poisoned")
+    }
+}
+
+struct Fleet {
+    pools: Vec<Arc<Pool>>,
+    links: Vec<Vec<usize>>,
+    in_flight: VecDeque<(Instant, usize, Vec<Notice>)>,
+    paused: Vec<bool>,
+    world: World,
+    rng: SmallRng,
+    /// Requests a second that arrive at the fleet.
+    load: f64,
+    owed: f64,
+}
+
+fn server_name(index: usize) -> SmolStr {
+    format_smolstr!("w{index}")
+}
+
+fn instance_name(index: usize) -> SmolStr {
+    format_smolstr!("front-{index}")
+}
+
+fn declaration(index: usize) -> BackendServer {
+    let port = u16::try_from(index + 1).expect("there are few servers");
+    BackendServer {
+        name: server_name(index),
+        address: ([127, 0, 0, 1], port).into(),
+        model: None,
+        service: Some("s".into()),
+        data_centre: "north".into(),
+        slots: 64,
+        fencing: false,
+        leaving: false,
+    }
+}
+
+fn admission(level: Level, prefix_hash: u64) -> AdmissionRequest {
+    AdmissionRequest {
+        attributes: RequestAttributes {
+            level,
+            class: format_smolstr!("class-{level}"),
+            organisation: "o".into(),
+            share: 1,
+            bytes: 1_000,
+            cost: 1,
+            partial: false,
+        },
+        prefix_hash,
+        first_token_target: Some(MAX_WAIT),
+        gap_target: None,
+        latency_sensitive: true,
+        starvation_bound: Duration::from_secs(4),
+        max_wait: MAX_WAIT,
+        avoid: Vec::new(),
+        prefer: None,
+    }
+}
+
+impl Fleet {
+    /// A fleet of `instances` before `servers` servers without limits, which gets `load` requests a second.
+    fn new(instances: usize, servers: usize, load: f64) -> Self {
+        let limits = Limits {
+            queue_bytes: 1 << 20,
+            unstarted: 4,
+        };
+        let declared: Vec<BackendServer> = (0..servers).map(declaration).collect();
+        let declared: Vec<&BackendServer> = declared.iter().collect();
+        let metrics = Arc::new(Metrics::new(None));
+        let pools: Vec<Arc<Pool>> = (0_u64..)
+            .take(instances)
+            .map(|seed| {
+                let metrics = Arc::clone(&metrics);
+                let pool =
+                    Pool::with_preemption("s".into(), limits, metrics, seed, Preemption::ByServer);
+                pool.update_servers(&declared, "north");
+                pool
+            })
+            .collect();
+        let mut rng = SmallRng::seed_from_u64(instances as u64);
+        let links = links(instances, &mut rng);
+        let world = World::default();
+        world.lock().records = vec![RateRecord::default(); servers];
+        world.lock().limits = vec![None; servers];
+        let mut fleet = Self {
+            pools,
+            links,
+            in_flight: VecDeque::new(),
+            paused: vec![false; instances],
+            world,
+            rng,
+            load,
+            owed: 0.0,
+        };
+        fleet.set_members(|_| true);
+        fleet
+    }
+
+    /// Tells each instance which instances are members.
+    fn set_members(&mut self, is_member: impl Fn(usize) -> bool) {
+        let members = (0..self.pools.len()).filter(|n| is_member(*n));
+        let members: Vec<SmolStr> = members.map(instance_name).collect();
+        for (n, pool) in self.pools.iter().enumerate() {
+            let members = Members::new(instance_name(n), members.iter().cloned());
+            pool.set_members(Arc::new(members));
+        }
+    }
+
+    /// Sets the limit that a server names from now on.
+    fn name_limit(&self, server: usize, rate: Option<f64>) {
+        let mut world = self.world.lock();
+        world.limits[server] = rate;
+        world.records[server].name(Instant::now(), rate);
+    }
+
+    async fn run(&mut self, time: Duration) {
+        let end = Instant::now() + time;
+        while Instant::now() < end {
+            self.send_requests();
+            self.deliver_notices();
+            for n in 0..self.pools.len() {
+                if self.paused[n] {
+                    continue;
+                }
+                self.pools[n].tick();
+                let notices = self.pools[n].take_limit_notices();
+                if notices.is_empty() {
+                    continue;
+                }
+                let arrival = Instant::now() + LINK_DELAY;
+                for link in &self.links[n] {
+                    self.in_flight.push_back((arrival, *link, notices.clone()));
+                }
+            }
+            tokio::time::sleep(STEP).await;
+        }
+    }
+
+    fn deliver_notices(&mut self) {
+        let now = Instant::now();
+        while self.in_flight.front().is_some_and(|(at, _, _)| *at <= now) {
+            let Some((_, to, notices)) = self.in_flight.pop_front() else {
+                return;
+            };
+            if !self.paused[to] {
+                self.pools[to].merge_limits(&notices);
+            }
+        }
+    }
+
+    fn send_requests(&mut self) {
+        self.owed += self.load * STEP.as_secs_f64();
+        while self.owed >= 1.0 {
+            self.owed -= 1.0;
+            let instance = self.rng.random_range(0..self.pools.len());
+            if self.paused[instance] {
+                continue;
+            }
+            let level = self.rng.random_range(0..TIERS);
+            let pool = Arc::clone(&self.pools[instance]);
+            let admission = admission(level, self.rng.random_range(1..=PREFIXES));
+            tokio::spawn(serve(pool, instance, admission, self.world.clone()));
+        }
+    }
+
+    fn served(&self) -> usize {
+        self.world.lock().outcomes.iter().map(|o| o.served).sum()
+    }
+
+    fn arrivals(&self, server: usize) -> usize {
+        self.world.lock().records[server].arrivals()
+    }
+
+    fn assert_limits_hold(&self) {
+        let world = self.world.lock();
+        for (server, record) in world.records.iter().enumerate() {
+            let instances = self.pools.len();
+            assert_eq!(
+                record.excess(),
+                None,
+                "server {server}, {instances} instances"
+            );
+        }
+    }
+}
+
+/// The links of each instance: all others in a small fleet, else its neighbours on a ring and a few more.
+fn links(instances: usize, rng: &mut SmallRng) -> Vec<Vec<usize>> {
+    let mut links = vec![Vec::new(); instances];
+    for n in 0..instances {
+        if instances <= LINKS + 1 {
+            links[n] = (0..instances).filter(|other| *other != n).collect();
+            continue;
+        }
+        for other in [
+            (n + 1) % instances,
+            rng.random_range(0..instances),
+            rng.random_range(0..instances),
+        ] {
+            if other != n {
+                links[n].push(other);
+                links[other].push(n);
+            }
+        }
+    }
+    links
+}
+
+/// One request: waits for a server, runs there, and gets a response that names the server's limit.
+async fn serve(pool: Arc<Pool>, instance: usize, admission: AdmissionRequest, world: World) {
+    let sent = Instant::now();
+    let level = admission.attributes.level;
+    let prompt = Prompt {
+        shared: 500,
+        unique: 100,
+    };
+    let permit = pool.acquire_for_prompt(admission, prompt).await;
+    let Ok(permit) = permit else {
+        let late = sent.elapsed() > MAX_WAIT / 2;
+        let outcomes = &mut world.lock().outcomes[usize::from(level)];
+        outcomes.refused += 1;
+        outcomes.refused_late += usize::from(late);
+        return;
+    };
+    let server = usize::from(permit.declared.address.port()) - 1;
+    world.lock().records[server].arrive(Instant::now(), instance);
+    tokio::time::sleep(SERVICE_TIME).await;
+    let mut world = world.lock();
+    let rate = world.limits[server];
+    if rate.is_some() {
+        world.records[server].inform(Instant::now(), instance);
+    }
+    permit.mark_started();
+    permit.record_rate_limit(rate, "r");
+    world.outcomes[usize::from(level)].served += 1;
+}
+
+/// Sizes of the fleets, and their load in requests a second.
+const FLEETS: [(usize, f64); 6] = [
+    (1, 30.0),
+    (3, 60.0),
+    (7, 80.0),
+    (59, 200.0),
+    (250, 300.0),
+    (490, 500.0),
+];
+
+/// A server that named one request a second got its share of the load from every instance, as if it had said
+/// nothing. The other servers take what it doesn't.
+#[tokio::test(start_paused = true)]
+async fn limit_of_one_server_holds_in_fleets_of_any_size() {
+    for (instances, load) in FLEETS {
+        let mut fleet = Fleet::new(instances, 4, load);
+        fleet.run(Duration::from_secs(2)).await;
+        fleet.name_limit(0, Some(1.0));
+
+        fleet.run(Duration::from_secs(16)).await;
+
+        fleet.assert_limits_hold();
+        let refused: usize = fleet.world.lock().outcomes.iter().map(|o| o.refused).sum();
+        assert_eq!(refused, 0, "{instances} instances");
+    }
+}
+
+/// Half of the servers name limits of several sizes, among them zero and less than one.
+#[tokio::test(start_paused = true)]
+async fn limits_of_several_servers_hold() {
+    for (instances, load) in FLEETS {
+        let mut fleet = Fleet::new(instances, 12, load);
+        for (server, rate) in [0.0, 0.3, 1.0, 2.5, 10.0, 1e9].into_iter().enumerate() {
+            fleet.name_limit(server, Some(rate));
+        }
+
+        fleet.run(Duration::from_secs(20)).await;
+
+        fleet.assert_limits_hold();
+    }
+}
+
+/// With a limit at every server, as much is served as the limits allow, the most important tier first, and
+/// what can't be served is refused early.
+#[tokio::test(start_paused = true)]
+async fn limits_of_all_servers_are_used_up_by_the_most_important_requests() {
+    for instances in [1, 3, 7] {
+        let mut fleet = Fleet::new(instances, 6, 90.0);
+        (0..6).for_each(|server| fleet.name_limit(server, Some(6.0)));
+        fleet.run(Duration::from_secs(3)).await;
+        fleet.world.lock().outcomes = Default::default();
+
+        fleet.run(Duration::from_secs(20)).await;
+
+        fleet.assert_limits_hold();
+        let outcomes = fleet.world.lock().outcomes;
+        let allowed = 6 * 6 * 20;
+        let served = fleet.served();
+        assert!(
+            served * 10 >= allowed * 9,
+            "{instances} instances: {served} of {allowed}"
+        );
+        let percent = |o: &Outcomes| o.served * 100 / (o.served + o.refused).max(1);
+        assert!(
+            percent(&outcomes[0]) >= 90,
+            "{instances} instances: {outcomes:?}"
+        );
+        assert!(
+            percent(&outcomes[2]) < percent(&outcomes[1]),
+            "{instances} instances: {outcomes:?}"
+        );
+        let refused: usize = outcomes.iter().map(|o| o.refused).sum();
+        let late: usize = outcomes.iter().map(|o| o.refused_late).sum();
+        assert!(late * 10 < refused, "{instances} instances: {outcomes:?}");
+    }
+}
+
+/// A limit that is raised, withdrawn and named again: the server gets requests again after each end, and the
+/// next limit holds.
+#[tokio::test(start_paused = true)]
+async fn limit_is_raised_withdrawn_and_named_again() {
+    for (instances, load) in FLEETS {
+        let mut fleet = Fleet::new(instances, 4, load);
+        fleet.run(Duration::from_secs(4)).await;
+        let usual = fleet.arrivals(0);
+        fleet.name_limit(0, Some(1.0));
+        fleet.run(Duration::from_secs(10)).await;
+        fleet.name_limit(0, Some(4.0));
+        fleet.run(Duration::from_secs(8)).await;
+        fleet.name_limit(0, None);
+        fleet.run(Duration::from_secs(8)).await;
+        let before = fleet.arrivals(0);
+        fleet.run(Duration::from_secs(4)).await;
+        let after_end = fleet.arrivals(0) - before;
+        fleet.name_limit(0, Some(2.0));
+
+        fleet.run(Duration::from_secs(12)).await;
+
+        fleet.assert_limits_hold();
+        assert!(
+            after_end * 2 > usual,
+            "{instances} instances: {after_end} requests after the end of the limit, {usual} before it"
+        );
+    }
+}
+
+/// The only holder of a limit is paused, the others take over, and it comes back believing that it still is
+/// the holder: it has saved nothing up.
+#[tokio::test(start_paused = true)]
+async fn holder_that_was_paused_has_saved_nothing() {
+    let mut fleet = Fleet::new(7, 4, 80.0);
+    fleet.name_limit(0, Some(1.0));
+    fleet.run(Duration::from_secs(6)).await;
+    for paused in 0..7 {
+        fleet.paused[paused] = true;
+        fleet.run(Duration::from_secs(1)).await;
+        fleet.set_members(|n| n != paused);
+        fleet.run(Duration::from_secs(4)).await;
+        fleet.paused[paused] = false;
+        fleet.run(Duration::from_secs(1)).await;
+        fleet.set_members(|_| true);
+        fleet.run(Duration::from_secs(2)).await;
+    }
+
+    fleet.assert_limits_hold();
+}
+
+/// Members come and go one after the other, so that holders change all the time.
+#[tokio::test(start_paused = true)]
+async fn limit_holds_while_members_join_and_leave() {
+    for (instances, load) in [(7, 80.0), (59, 200.0)] {
+        let mut fleet = Fleet::new(instances, 4, load);
+        fleet.name_limit(0, Some(3.0));
+        for round in 0..40 {
+            fleet.set_members(|n| (n + round) % 3 != 0);
+            fleet.run(Duration::from_millis(500)).await;
+        }
+
+        fleet.assert_limits_hold();
+    }
+}
+
+/// The holders of a limit get no requests, and the server withdraws its limit: another instance hears of it.
+#[tokio::test(start_paused = true)]
+async fn withdrawn_limit_is_heard_although_its_holders_are_idle() {
+    let mut fleet = Fleet::new(7, 2, 40.0);
+    fleet.name_limit(0, Some(1.0));
+    fleet.run(Duration::from_secs(4)).await;
+    (0..7).for_each(|n| fleet.paused[n] = is_holder(n));
+    fleet.name_limit(0, None);
+
+    fleet.run(Duration::from_secs(45)).await;
+
+    let limited = (0..7).filter(|n| !is_holder(*n) && fleet.pools[*n].stats().limited > 0);
+    assert_eq!(limited.count(), 0);
+}
+
+/// Whether an instance of seven holds a part of the first server's limit of one request a second.
+fn is_holder(instance: usize) -> bool {
+    let now = Instant::now();
+    let members = Members::new(instance_name(instance), (0..7).map(instance_name));
+    let mut limit = RateLimit::unlimited(now);
+    limit.observe(Some(1.0), now, now);
+    limit.assign(&server_name(0), &members, now);
+    limit.share() > Some(0.0)
+}
