--- a/crates/router/src/load/server.rs
+++ b/crates/router/src/load/server.rs
@@ -46,6 +46,17 @@
     pub leaving: bool,
 }
 
+/// Response of a backend server to a poll of its state.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct StatusReport {
+    /// Its load.
+    #[serde(flatten)]
+    pub load: LoadReport,
+    /// Requests a second that it takes from all instances together; `None` if it has no limit.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub rate_limit: Option<Rate>,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct ReceivedLoad {
     report: LoadReport,
--- a/crates/router/src/reports.rs
+++ b/crates/router/src/reports.rs
@@ -74,13 +74,16 @@
     let NewServer { pool, id, declared } = server;
     let mut missed = 0;
     loop {
-        if let Ok(report) = node.backend_client.fetch_load(declared.address).await {
+        let requested = Instant::now();
+        if let Ok(report) = node.backend_client.fetch_status(declared.address).await {
             missed = 0;
-            if report.leaving {
+            if report.load.leaving {
                 let now_ms = changelog::now_ms();
                 node.mark_server_leaving(&declared.name, now_ms, None);
             }
-            pool.record_load(id, report);
+            pool.record_load(id, report.load);
+            let rate = report.rate_limit.filter(|r| r.is_finite() && *r >= 0.0);
+            pool.record_reported_limit(id, rate, requested);
         } else {
             missed += 1;
             if missed >= MAX_MISSED_REPORTS {
--- a/crates/router/src/request/backend.rs
+++ b/crates/router/src/request/backend.rs
@@ -8,7 +8,7 @@
 use http_body_util::Full;
 
 use crate::forward::connection_pool::{BackendResponse, ConnectionPool, Error};
-use crate::load::server::LoadReport;
+use crate::load::server::{LoadReport, StatusReport};
 
 /// Timeout of a load report, and of the cancellation of a stream.
 const CONTROL_TIMEOUT: Duration = Duration::from_millis(800);
@@ -64,12 +64,12 @@
             .await
     }
 
-    /// Fetches the load report of a backend server.
+    /// Polls the state of a backend server.
     ///
     /// # Errors
     /// `NotSent` when the server cannot be reached, `NoAnswer` when it does not respond in time or the
     /// report is malformed.
-    pub async fn fetch_load(&self, address: SocketAddr) -> Result<LoadReport, Error> {
+    pub async fn fetch_status(&self, address: SocketAddr) -> Result<StatusReport, Error> {
         let request = BackendRequest {
             address,
             method: Method::GET,
--- a/crates/standins/src/bench.rs
+++ b/crates/standins/src/bench.rs
@@ -139,6 +139,7 @@
         drained: &drained,
     };
     let mut violations = checker.check();
+    violations.rate_exceeded = exceeded_rates(bed);
     let healed_at = *healed_at
         .lock()
         .unwrap_or_else(std::sync::PoisonError::into_inner);
@@ -187,6 +188,15 @@
     })
 }
 
+/// The servers that got more requests than the rate limits that they named.
+fn exceeded_rates(bed: &TestBed) -> Vec<String> {
+    let excesses = bed.servers.iter().filter_map(|server| {
+        let excess = server.rate_excess()?;
+        Some(format!("{}: {excess:?}", server.options.name))
+    });
+    excesses.collect()
+}
+
 /// Applies the declarations of the deployment through the operator API of an instance.
 ///
 /// # Errors
--- a/crates/standins/src/faults.rs
+++ b/crates/standins/src/faults.rs
@@ -36,6 +36,8 @@
     Partition,
     /// Several operators change the configuration concurrently.
     ConcurrentOperators,
+    /// Two servers name a rate limit; one changes it, and both withdraw it.
+    RateLimit,
     /// Servers delay some responses.
     DelayedResponses,
     /// Servers send the response of another request for some requests.
@@ -56,6 +58,7 @@
     ("instance-drain", Fault::InstanceDrain),
     ("partition", Fault::Partition),
     ("operator-race", Fault::ConcurrentOperators),
+    ("rate-limit", Fault::RateLimit),
     ("late-answers", Fault::DelayedResponses),
     ("crossed-answers", Fault::MismatchedResponses),
 ];
@@ -81,7 +84,7 @@
 }
 
 /// An action on one of the systems of a run. Servers and instances are given by their index.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Action {
     /// Sets the step time of a server, in percent of its normal step time.
     SetStepPercent(usize, u64),
@@ -91,6 +94,8 @@
     Recover(usize),
     /// Marks a server as leaving.
     MarkLeaving(usize),
+    /// Sets the rate limit that a server names, in requests a second; `None` withdraws it.
+    NameLimit(usize, Option<f64>),
     /// Starts (true) or ends (false) an outage of the platform.
     Outage(bool),
     /// Sets the latency of calls to the platform, in ms.
@@ -164,6 +169,15 @@
                 add(to, Action::Crash(second));
                 add(to + Duration::from_millis(1_500), Action::Recover(second));
             }
+            Fault::RateLimit => {
+                let second = (server + 1) % servers.max(1);
+                let changed = (from + to) / 2;
+                add(from, Action::NameLimit(server, Some(2.0)));
+                add(from, Action::NameLimit(second, Some(1.0)));
+                add(changed, Action::NameLimit(server, Some(4.0)));
+                add(to, Action::NameLimit(server, None));
+                add(to, Action::NameLimit(second, None));
+            }
             Fault::ServerLeaving => add(from, Action::MarkLeaving(server)),
             Fault::PlatformOutage => {
                 add(from, Action::Outage(true));
--- a/crates/standins/src/invariants.rs
+++ b/crates/standins/src/invariants.rs
@@ -44,6 +44,8 @@
     pub false_not_run: Vec<String>,
     /// A request was sent to a server too long after it had reported that it was leaving.
     pub work_after_leaving: Vec<String>,
+    /// A server got more requests than the rate limit that it named.
+    pub rate_exceeded: Vec<String>,
     /// A graceful shutdown of an instance interrupted a response.
     pub cut_by_stop: Vec<String>,
     /// An instance went back to an older configuration, or an accepted change is missing from the change
@@ -56,7 +58,7 @@
 impl Violations {
     /// Returns each kind of violation with its cases, under the names used in the report.
     #[must_use]
-    pub fn all(&self) -> [(&'static str, &Vec<String>); 10] {
+    pub fn all(&self) -> [(&'static str, &Vec<String>); 11] {
         [
             ("tier_inversion", &self.tier_inversion),
             ("starved", &self.starved),
@@ -65,6 +67,7 @@
             ("ran_twice", &self.ran_twice),
             ("false_not_run", &self.false_not_run),
             ("work_after_leaving", &self.work_after_leaving),
+            ("rate_exceeded", &self.rate_exceeded),
             ("cut_by_stop", &self.cut_by_stop),
             ("config_reverted", &self.config_reverted),
             ("config_late", &self.config_late),
--- a/crates/standins/src/simulated_server.rs
+++ b/crates/standins/src/simulated_server.rs
@@ -15,7 +15,7 @@
 use http::{Method, Request, Response, StatusCode};
 use jackdawtally::backend::{LOAD_HEADER, RAN_HEADER, REQUEST_ID_HEADER};
 use jackdawtally::response::{self, Body};
-use jackdawtally::server::LoadReport;
+use jackdawtally::server::{LoadReport, StatusReport};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde_json::{Value, json};
@@ -26,6 +26,7 @@
 
 use crate::execution_log::{ExecutionLog, ExecutionPause, ExecutionStart, Tag};
 use crate::http_server;
+use crate::rate_check::{Excess, RateRecord};
 
 /// Age of the state that a load report describes.
 const REPORT_LAG: Duration = Duration::from_millis(200);
@@ -44,6 +45,9 @@
 /// when the reader resumes the stream.
 const EVENT_CHANNEL_CAPACITY: usize = 1_024;
 
+/// Index under which the requests of all instances are recorded for the check of rate limits.
+const ANY_INSTANCE: usize = 0;
+
 /// Configuration of a simulated server.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -106,6 +110,9 @@
     speed_changes: Vec<(Instant, f64)>,
     /// Time at which the server was marked as leaving.
     leaving: Option<Instant>,
+    /// The rate limit that it names, in requests a second.
+    rate_limit: Option<f64>,
+    rate_record: RateRecord,
     rng: ChaCha8Rng,
 }
 
@@ -151,6 +158,8 @@
             arrivals: 0,
             speed_changes: vec![(Instant::now(), rate)],
             leaving: None,
+            rate_limit: None,
+            rate_record: RateRecord::default(),
             rng: ChaCha8Rng::seed_from_u64(options.seed),
         };
         let server = Arc::new(Self {
@@ -198,6 +207,21 @@
         self.record_speed();
     }
 
+    /// Sets the rate limit that the server names, in requests a second. All instances count as informed after
+    /// the next poll.
+    pub fn name_limit(&self, rate: Option<f64>) {
+        let mut state = self.lock();
+        state.rate_limit = rate;
+        state.rate_record.name(Instant::now(), rate);
+        state.rate_record.inform(Instant::now(), ANY_INSTANCE);
+    }
+
+    /// The greatest excess of the requests received over the named rate limit, if any.
+    #[must_use]
+    pub fn rate_excess(&self) -> Option<Excess> {
+        self.lock().rate_record.excess()
+    }
+
     /// Marks the server as leaving: it reports so in its load report and rejects new requests.
     pub fn mark_leaving(&self) {
         self.lock().leaving = Some(Instant::now());
@@ -250,6 +274,10 @@
     async fn handle(self: Arc<Self>, request: Request<Bytes>) -> Response<Body> {
         let path = request.uri().path().to_owned();
         let stream = path.strip_prefix("/v1/streams/");
+        if request.method() == Method::POST {
+            let mut state = self.lock();
+            state.rate_record.arrive(Instant::now(), ANY_INSTANCE);
+        }
         match (request.method(), path.as_str(), stream) {
             (&Method::GET, "/load", _) => self.load_report(),
             (&Method::POST, "/v1/chat/completions" | "/v1/completions", _) => {
@@ -274,10 +302,14 @@
             .iter()
             .rev()
             .find(|(at, _)| now - *at >= REPORT_LAG);
-        let report = LoadReport {
+        let load = LoadReport {
             leaving: state.leaving.is_some(),
             ..delayed.map_or(current, |(_, r)| *r)
         };
+        let report = StatusReport {
+            load,
+            rate_limit: state.rate_limit,
+        };
         let body = serde_json::to_vec(&report).unwrap_or_default();
         response::json_response(StatusCode::OK, body.into())
     }
--- a/crates/standins/src/test_bed.rs
+++ b/crates/standins/src/test_bed.rs
@@ -160,6 +160,7 @@
             Action::Crash(server) => self.server(*server).crash(),
             Action::Recover(server) => self.server(*server).recover(),
             Action::MarkLeaving(server) => self.server(*server).mark_leaving(),
+            Action::NameLimit(server, rate) => self.server(*server).name_limit(*rate),
             Action::Outage(active) => {
                 self.platform
                     .outage
