Let a stream go on only at the version of the server that began it

Cause: no attempt knew versions. The entries' version wasn't decoded; a broken stream went to any server of the service, and so did one that its caller took up again. Class of fault: an attempt carried less than what its predecessor had fixed.

Change: a stream is bound to service and version by its first events, as known when the attempt was sent. Retries after the first event, stalls included, go only to servers of that version, and wait outside of the queue so that they hold nobody up; without such a server the stream ends at once, and a stalled one isn't abandoned. A stream whose origin nobody knows is refused as not run. A version is in doubt for 3 s after a failed connection: its id may have started again. Also bound is the service, where a route is split among several.

--- a/crates/router/src/adapters/callers.rs
+++ b/crates/router/src/adapters/callers.rs
@@ -354,6 +354,7 @@
         latency_sensitive: targets.iter().any(Option::is_some),
         starvation_bound: class.starvation_bound(),
         max_wait: class.max_wait(),
+        version: None,
         avoid: Vec::new(),
         prefer: None,
     };
--- a/crates/router/src/config/object.rs
+++ b/crates/router/src/config/object.rs
@@ -116,6 +116,10 @@
     /// Whether the server is leaving and receives no new requests.
     #[serde(default)]
     pub leaving: bool,
+    /// The version of the server's software, if the adapter that found the server knows it: a stream that one
+    /// version began goes on only at that version. Not part of declarations.
+    #[serde(skip)]
+    pub version: Option<SmolStr>,
 }
 
 impl BackendServer {
--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -57,7 +57,7 @@
     EventSpec {
         name: "server.entry",
         fields: &[
-            "server", "service", "address", "slots", "state", "revision", "reason",
+            "server", "service", "address", "slots", "version", "state", "revision", "reason",
         ],
         meaning: "the entry of a backend server was added or changed; the state is `ready`, `leaving`, `lapsed` (expired), `gone` or `unreadable`",
     },
@@ -71,10 +71,24 @@
         fields: &["id", "host", "path", "cause", "config"],
         meaning: "a request was rejected before its route and organisation were determined",
     },
+    EventSpec {
+        name: "stream.origin",
+        fields: &[
+            "id",
+            "first_attempt",
+            "outcome",
+            "service",
+            "version",
+            "took_ms",
+        ],
+        meaning: "a caller takes up a stream that the attempt `first_attempt` began; the outcome is `found`, with the service and the version that the stream is bound to, or `unknown`, and the stream doesn't go on",
+    },
     EventSpec {
         name: "request.again",
-        fields: &["id", "server", "cause", "allowed", "sendings", "left_ms"],
-        meaning: "an attempt failed; `allowed` tells whether the request may be retried on another server",
+        fields: &[
+            "id", "server", "cause", "allowed", "version", "sendings", "left_ms",
+        ],
+        meaning: "an attempt failed; `allowed` tells whether the request may be retried on another server, `version` the version that this one must have",
     },
     EventSpec {
         name: "request.end",
@@ -93,13 +107,14 @@
             "retry_after_ms",
             "attempts",
             "limits",
+            "version",
             "first_ms",
             "events",
             "pause_ms",
             "after",
             "rate",
         ],
-        meaning: "a request ended; the outcome is `answered`, `refused`, `cut` or `caller_gone`; `attempts` lists the server and result of each attempt, `events` the number of streamed events and the time since the last, `first_ms` the time to the first, `pause_ms` the longest pause between two, `limits` the rate limit of each server that has one, with this instance's share and the time since it was heard of; a line with `rate=N` represents N such lines",
+        meaning: "a request ended; the outcome is `answered`, `refused`, `cut` or `caller_gone`; `attempts` lists the server and result of each attempt, `events` the number of streamed events and the time since the last, `first_ms` the time to the first, `pause_ms` the longest pause between two, `limits` the rate limit of each server that has one, with this instance's share and the time since it was heard of, `version` the software version that the stream is bound to; a line with `rate=N` represents N such lines",
     },
 ];
 
--- a/crates/router/src/fleet/frame.rs
+++ b/crates/router/src/fleet/frame.rs
@@ -13,6 +13,7 @@
 use crate::config::object::{Change, ChangeNumber, Level, Object};
 use crate::fleet::claims::{Operation, Outcome};
 use crate::fleet::membership::InstanceRecord;
+use crate::fleet::origin::{OriginGroup, OriginQuery, OriginReply};
 pub use crate::load::admission_floors::FloorKind;
 use crate::load::pools::{PoolDemand, PoolLimits};
 
@@ -106,6 +107,12 @@
     },
     /// What was heard of the rate limits of backend servers.
     RateLimits(Vec<PoolLimits>),
+    /// Copies of the origins of streams that began at the sender.
+    StreamOrigins(Vec<OriginGroup>),
+    /// Requests the origins of streams.
+    FindOrigins(Vec<OriginQuery>),
+    /// Replies to `FindOrigins`.
+    FoundOrigins(Vec<OriginReply>),
 }
 
 impl Frame {
@@ -113,7 +120,10 @@
     #[must_use]
     pub const fn since(&self) -> u16 {
         match self {
-            Self::RateLimits(_) => 2,
+            Self::RateLimits(_)
+            | Self::StreamOrigins(_)
+            | Self::FindOrigins(_)
+            | Self::FoundOrigins(_) => 2,
             _ => 1,
         }
     }
--- a/crates/router/src/fleet/link.rs
+++ b/crates/router/src/fleet/link.rs
@@ -427,6 +427,11 @@
                 node.mark_server_leaving(&server, at_ms, Some(&self.peer.id));
             }
             Frame::RateLimits(limits) => node.pools.merge_limits(&limits),
+            Frame::StreamOrigins(groups) => node.stream_origins.keep(&groups),
+            Frame::FindOrigins(queries) => {
+                node.stream_origins.receive_queries(&queries, &self.peer.id);
+            }
+            Frame::FoundOrigins(replies) => node.stream_origins.receive_replies(&replies),
         }
         Ok(())
     }
--- a/crates/router/src/fleet/links.rs
+++ b/crates/router/src/fleet/links.rs
@@ -195,6 +195,20 @@
         });
     }
 
+    /// Sends a frame to `count` linked instances whose build knows the frame, others each time.
+    pub fn send_to_some(&self, frame: &Frame, count: usize) {
+        let mut state = self.lock();
+        state.serial += 1;
+        let seed = state.serial;
+        let mut links: Vec<(&InstanceId, &Link)> = state.links.iter().collect();
+        links.retain(|(_, link)| link.protocol >= frame.since());
+        links.sort_by_key(|(id, _)| rendezvous::weight(seed, id));
+        for (_, link) in links.into_iter().take(count) {
+            // If the send queue is full, the frame is dropped; the next broadcast closes the link.
+            let _ = link.frames.try_send(frame.clone());
+        }
+    }
+
     /// Sends a frame to one instance, if it is linked and its build knows the frame.
     pub fn send(&self, id: &str, frame: Frame) {
         let state = self.lock();
--- a/crates/router/src/fleet/mod.rs
+++ b/crates/router/src/fleet/mod.rs
@@ -8,5 +8,7 @@
 pub mod link;
 pub mod links;
 pub mod membership;
+pub mod origin;
+pub mod stream_origins;
 
 pub use links::{desired_links, is_watcher};
--- a/crates/router/src/forward/access_log.rs
+++ b/crates/router/src/forward/access_log.rs
@@ -7,6 +7,7 @@
 
 use http::StatusCode;
 use log::Level;
+use smol_str::SmolStr;
 use tokio::time::Instant;
 
 use super::attempt::Failure;
@@ -45,7 +46,7 @@
 /// One attempt, for the `attempts` field of the log line.
 #[derive(Clone, Debug)]
 struct Attempt {
-    server: smol_str::SmolStr,
+    server: SmolStr,
     /// Time from the receipt of the request to the start of the attempt.
     started: Duration,
     /// Why it failed; `None` if it succeeded or is still running.
@@ -62,6 +63,8 @@
     /// Total time spent waiting for a backend server.
     waited: Duration,
     attempts: Vec<Attempt>,
+    /// The version that the stream is bound to, if any.
+    pub version: Option<SmolStr>,
     events: u64,
     first_event: Option<Duration>,
     last_event: Option<Instant>,
@@ -80,6 +83,7 @@
             config,
             waited: Duration::ZERO,
             attempts: Vec::new(),
+            version: None,
             events: 0,
             first_event: None,
             last_event: None,
@@ -128,6 +132,7 @@
             .field("server", &attempt.server)
             .field("cause", failure.as_str())
             .field("allowed", allowed)
+            .optional_field("version", self.version.as_ref())
             .field("sendings", count)
             .field("left_ms", left.as_millis())
             .write(Level::Info);
@@ -201,6 +206,7 @@
             .optional_field("retry_after_ms", retry)
             .field("attempts", self.attempts())
             .optional_field("limits", self.limits())
+            .optional_field("version", self.version.as_ref())
             .optional_field("first_ms", self.first_event.map(|d| d.as_millis()))
             .optional_field("events", events)
             .optional_field(
--- a/crates/router/src/forward/attempt.rs
+++ b/crates/router/src/forward/attempt.rs
@@ -80,6 +80,7 @@
         Ok(response) => response,
         Err(error @ connection_pool::Error::NotSent(_)) => {
             log::debug!("server={} {error}", permit.declared.name);
+            permit.record_connect_failure();
             permit.record_failure(false);
             return Err(Failure::NotSent);
         }
--- a/crates/router/src/forward/forwarder.rs
+++ b/crates/router/src/forward/forwarder.rs
@@ -13,9 +13,11 @@
 use super::attempt::{self, Failure};
 use super::backend_protocol::BackendProtocol;
 use super::connection_pool::{BackendResponse, ConnectionPool};
+use super::origin::Binding;
 use super::request::{EventId, Request};
 use super::route::{RouteKind, ServiceName};
 use crate::error::{Fault, Kind, Ran};
+use crate::fleet::origin;
 use crate::http1::{Disconnected, ResponseWriter};
 use crate::load::budget::{self, BudgetLimits, RetryBudget};
 use crate::load::pool::{AdmissionRequest, Permit, Pool};
@@ -111,24 +113,29 @@
     attempts: u32,
     /// The last event that the caller already has.
     resume_after: Option<EventId>,
+    /// Which servers may continue the stream.
+    binding: Binding,
     /// A server error that is sent to the caller if no retry gets a better response.
     fallback: Option<BufferedResponse>,
     log: AccessLog<'a>,
 }
 
 impl<'a, 'r, P: BackendProtocol> Forwarder<'a, 'r, P> {
-    /// Prepares to forward `request` to the backend servers of `service`, which are those in `pool`.
+    /// Prepares to forward `request` to the backend servers of `service`, which are those in `pool`. `binding`
+    /// tells which of them may take it.
     pub fn new(
         context: &'a ForwardContext<P>,
         pool: Arc<Pool>,
         service: &'a ServiceName,
         request: &'a Request,
         response: &'a mut ResponseWriter<'r>,
+        binding: Binding,
         log: AccessLog<'a>,
     ) -> Self {
         Self {
             admission: admission(request),
             resume_after: request.resume_after,
+            binding,
             context,
             pool,
             service,
@@ -227,6 +234,7 @@
 
     async fn acquire_permit(&mut self) -> Result<Permit, ForwardError> {
         let mut admission = self.admission.clone();
+        admission.version = self.binding.version().map_err(ForwardError::Fault)?;
         admission.attributes.partial = !self.response.is_unsent();
         let shared = self.request.shared_tokens();
         let prompt = Prompt {
@@ -241,6 +249,10 @@
 
     /// Whether the request may be retried after `failure`; charges the retry budget where that is due.
     fn may_retry(&self, failure: Failure) -> bool {
+        if !self.binding.is_served_by(&self.pool, None) {
+            self.context.node.metrics.count("stream.no_version");
+            return false;
+        }
         if failure == Failure::NotSent && self.attempts == 0 {
             return true;
         }
@@ -278,7 +290,8 @@
         if !started {
             return self.wait_overtaken(permit).await;
         }
-        if !self.has_attempts_left() {
+        let elsewhere = self.binding.is_served_by(&self.pool, Some(permit.server));
+        if !self.has_attempts_left() || !elsewhere {
             return std::future::pending().await;
         }
         let gap = self.request.route.gap_target.unwrap_or_default() * STALL_GAP_FACTOR;
@@ -442,6 +455,7 @@
             }
             last_event = Some(now);
             batches += 1;
+            self.bind(permit);
             self.log.record_events();
             self.send_events(&response, status, &batch.bytes).await?;
             self.resume_after = batch.last.or(self.resume_after);
@@ -457,6 +471,22 @@
         Ok(AttemptResult::Done(status))
     }
 
+    /// Binds a stream to the version of the server that brings its first events, and records that for when its
+    /// caller comes back.
+    fn bind(&mut self, permit: &Permit) {
+        if self.binding != Binding::Any {
+            return;
+        }
+        self.binding = Binding::begin(self.service, permit.version.as_ref());
+        self.log.version = self.binding.known_version();
+        if let Binding::Origin(origin) = &self.binding
+            && self.request.route.kind.is_retryable()
+        {
+            let stream = origin::stream_id(&self.request.id);
+            self.context.node.stream_origins.record(stream, origin);
+        }
+    }
+
     async fn send_events(
         &mut self,
         response: &BackendResponse,
@@ -493,6 +523,7 @@
         starvation_bound: STARVATION_BOUND,
         max_wait: route.latency_target,
         avoid: Vec::new(),
+        version: None,
         prefer: None,
     }
 }
--- a/crates/router/src/forward/mod.rs
+++ b/crates/router/src/forward/mod.rs
@@ -11,5 +11,6 @@
 pub mod config_snapshot;
 pub mod connection_pool;
 pub mod forwarder;
+pub mod origin;
 pub mod request;
 pub mod route;
--- /dev/null
+++ b/crates/router/src/forward/origin.rs
@@ -0,0 +1,121 @@
+//! The origin of a stream in the life of one request: which backend servers may continue it.
+
+use std::time::Duration;
+
+use log::Level;
+use smol_str::SmolStr;
+use tokio::time::Instant;
+
+use super::request::Request;
+use super::route::ServiceName;
+use crate::error::{Fault, Kind};
+use crate::event::Line;
+use crate::fleet::origin::{self, Origin};
+use crate::load::pool::{Pool, ServerId};
+use crate::node::Node;
+
+/// Retry delay advised to a caller whose stream can't go on at this instance.
+const RETRY_AFTER: Duration = Duration::from_millis(300);
+
+/// Which servers may take a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Binding {
+    /// All of them: the caller has no event yet, or the request is no stream.
+    Any,
+    /// Those of the service and version that began the stream.
+    Origin(Origin),
+    /// None: the version that began the stream isn't known.
+    Unknown,
+}
+
+impl Binding {
+    /// The binding of a stream whose first event comes from a server of `service` with this version.
+    #[must_use]
+    pub fn begin(service: &ServiceName, version: Option<&SmolStr>) -> Self {
+        version.map_or(Self::Unknown, |version| {
+            Self::Origin(Origin {
+                service: service.clone(),
+                version: version.clone(),
+            })
+        })
+    }
+
+    /// The service that the stream is bound to, if any.
+    #[must_use]
+    pub const fn service(&self) -> Option<&ServiceName> {
+        match self {
+            Self::Origin(origin) => Some(&origin.service),
+            Self::Any | Self::Unknown => None,
+        }
+    }
+
+    /// The version that the stream is bound to, if any.
+    #[must_use]
+    pub fn known_version(&self) -> Option<SmolStr> {
+        match self {
+            Self::Origin(origin) => Some(origin.version.clone()),
+            Self::Any | Self::Unknown => None,
+        }
+    }
+
+    /// The version that a server must have; `None` for any.
+    ///
+    /// # Errors
+    /// `NoBackendServer` if no server may take the request.
+    pub fn version(&self) -> Result<Option<SmolStr>, Fault> {
+        match self {
+            Self::Unknown => Err(unknown_origin()),
+            Self::Any | Self::Origin(_) => Ok(self.known_version()),
+        }
+    }
+
+    /// Whether a server of `pool` other than `except` may take the request.
+    #[must_use]
+    pub fn is_served_by(&self, pool: &Pool, except: Option<ServerId>) -> bool {
+        match self {
+            Self::Any => true,
+            Self::Origin(origin) => pool.serves_version(&origin.version, except),
+            Self::Unknown => false,
+        }
+    }
+}
+
+fn unknown_origin() -> Fault {
+    let message = "the version of the backend server that began the stream isn't known";
+    Fault::new(Kind::NoBackendServer, message).retry_after(RETRY_AFTER)
+}
+
+/// Returns which servers may take a request as it comes from its caller.
+///
+/// # Errors
+/// `NoBackendServer` if the request takes up a stream and neither this instance nor a peer that can be reached
+/// knows where it began, or if its route doesn't lead there any more.
+pub async fn find(node: &Node, request: &Request) -> Result<Binding, Fault> {
+    if !request.route.kind.is_stream() || request.resume_after.is_none() {
+        return Ok(Binding::Any);
+    }
+    let started = Instant::now();
+    let origin = match &request.first_attempt {
+        Some(attempt) => {
+            let stream = origin::stream_id(attempt);
+            let origins = &node.stream_origins;
+            origins.find(stream, &node.membership, &node.links).await
+        }
+        None => None,
+    };
+    let origin = origin.filter(|origin| request.route.leads_to(&origin.service));
+    let outcome = if origin.is_some() { "found" } else { "unknown" };
+    Line::new("stream.origin")
+        .field("id", &request.id)
+        .optional_field("first_attempt", request.first_attempt.as_ref())
+        .field("outcome", outcome)
+        .optional_field("service", origin.as_ref().map(|o| &o.service))
+        .optional_field("version", origin.as_ref().map(|o| &o.version))
+        .field("took_ms", started.elapsed().as_millis())
+        .write(Level::Info);
+    node.metrics.count(match origin {
+        Some(_) => "stream.origin_found",
+        None => "stream.origin_unknown",
+    });
+    origin.map(Binding::Origin).ok_or_else(unknown_origin)
+}
--- a/crates/router/src/forward/request.rs
+++ b/crates/router/src/forward/request.rs
@@ -59,6 +59,8 @@
     pub prompt: Prompt,
     /// The last event that the caller already has, if it resumes a stream.
     pub resume_after: Option<EventId>,
+    /// The caller's attempt that brought the first event of the stream that it resumes, if it says so.
+    pub first_attempt: Option<SmolStr>,
 }
 
 impl Request {
--- a/crates/router/src/forward/route.rs
+++ b/crates/router/src/forward/route.rs
@@ -79,6 +79,15 @@
 }
 
 impl Route {
+    /// Whether requests of the route may go to this service.
+    #[must_use]
+    pub fn leads_to(&self, service: &str) -> bool {
+        let services = self.services.iter();
+        services
+            .filter(|entry| entry.weight > 0)
+            .any(|entry| entry.service == service)
+    }
+
     /// Selects the service for the request `id` according to the weights; the same id always gets the same
     /// service. Returns `None` if no service has a weight.
     #[must_use]
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -27,7 +27,9 @@
 
 pub use adapters::{callers, operators, platform_http};
 pub use config::{catalogue, changelog, object};
-pub use fleet::{advertisement, claims, frame, leaving_servers, link, membership};
+pub use fleet::{
+    advertisement, claims, frame, leaving_servers, link, membership, origin, stream_origins,
+};
 pub use load::{
     admission_floors, demand, fleet_demand, partition, placement, pool, pools, prompt_placement,
     queue, rate_limit, server,
--- a/crates/router/src/load/placement.rs
+++ b/crates/router/src/load/placement.rs
@@ -2,6 +2,7 @@
 
 use rand::RngExt;
 use slotmap::SlotMap;
+use smol_str::SmolStr;
 use tokio::time::Instant;
 
 use crate::config::object::Level;
@@ -27,6 +28,8 @@
     pub guard: bool,
     /// Servers that have failed this request.
     pub avoid: &'a [ServerId],
+    /// The software version that a server must have to take the request; `None` for any.
+    pub version: Option<&'a str>,
     /// The server that holds the paused stream of the request, if any.
     pub prefer: Option<ServerId>,
     /// Number of requests without a first token that this instance may have at a server without a
@@ -89,7 +92,9 @@
 pub(super) fn has_room(server: &Server, criteria: &Criteria<'_>, now: Instant) -> bool {
     let allowance = criteria.max_unstarted + u32::from(criteria.guard);
     let below_allowance = server.unstarted(criteria.level) < allowance;
-    server.accepts(now) && (server.free_slots(now) > 0 || below_allowance)
+    let fits =
+        criteria.version.is_none() || criteria.version == server.version(now).map(SmolStr::as_str);
+    fits && server.accepts(now) && (server.free_slots(now) > 0 || below_allowance)
 }
 
 fn score(server: &Server, now: Instant) -> f64 {
--- a/crates/router/src/load/pool.rs
+++ b/crates/router/src/load/pool.rs
@@ -36,6 +36,7 @@
 mod prompts;
 mod rate_limits;
 mod state;
+mod versions;
 
 pub use permit::Permit;
 
@@ -73,6 +74,8 @@
     pub starvation_bound: Duration,
     /// Longest time in the queue, after which the request is rejected.
     pub max_wait: Duration,
+    /// The software version that a server must have to take the request; `None` for any.
+    pub version: Option<SmolStr>,
     /// Servers that have failed this request; they are used only if no other has capacity.
     pub avoid: Vec<ServerId>,
     /// The server that holds the request's paused stream, if any; it is preferred.
@@ -245,15 +248,19 @@
         self.acquire_for_prompt(admission, Prompt::default()).await
     }
 
-    /// Waits for a permit for the server that is expected to finish the prefill of `prompt` first.
+    /// Waits for a permit for the server that is expected to finish the prefill of `prompt` first. A request that
+    /// only servers of one version may take waits outside of the queue, so that it doesn't hold up others.
     ///
     /// # Errors
-    /// As for [`Self::acquire`].
+    /// As for [`Self::acquire`]; `no_backend_server` at once if no server has the version.
     pub async fn acquire_for_prompt(
         self: &Arc<Self>,
         mut admission: AdmissionRequest,
         prompt: Prompt,
     ) -> Result<Permit, Fault> {
+        if admission.version.is_some() {
+            return self.acquire_for_version(&admission, prompt).await;
+        }
         let now = Instant::now();
         let (reply, receiver) = oneshot::channel();
         let id = {
@@ -485,6 +492,7 @@
         });
         let known = &mut state.servers[server];
         known.record_sent(level);
+        let version = known.version(now).cloned();
         let usage = known.rate_limit_mut().and_then(|limit| limit.take(now));
         if usage.is_some() {
             self.metrics.count("rate_limit.sent");
@@ -495,6 +503,7 @@
             server,
             declared: known.declared.clone(),
             priority: if guard { 0 } else { level },
+            version,
             usage,
             directive: receiver,
         }
--- a/crates/router/src/load/pool/permit.rs
+++ b/crates/router/src/load/pool/permit.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use smol_str::SmolStr;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -27,6 +28,8 @@
     /// Priority to send with the request; 0 is the most important, also used for requests of a
     /// starving class.
     pub priority: Level,
+    /// The version of the server's software; `None` if it isn't known, or in doubt.
+    pub version: Option<SmolStr>,
     /// How the request counts under the server's rate limit; `None` if it has none.
     pub usage: Option<Usage>,
     /// Latest instruction of the pool to the request.
@@ -101,6 +104,14 @@
         }
     }
 
+    /// Records that no connection to the server could be opened.
+    pub fn record_connect_failure(&self) {
+        let mut state = self.pool.lock();
+        if let Some(server) = state.servers.get_mut(self.server) {
+            server.record_connect_failure(Instant::now());
+        }
+    }
+
     /// Records that the server failed this request. `unreachable` if it can't be reached at all, so
     /// that its other requests fail too.
     pub fn record_failure(&self, unreachable: bool) {
--- a/crates/router/src/load/pool/state.rs
+++ b/crates/router/src/load/pool/state.rs
@@ -150,6 +150,7 @@
             latency_sensitive: admission.latency_sensitive,
             guard,
             avoid: &admission.avoid,
+            version: admission.version.as_deref(),
             prefer: admission.prefer,
             max_unstarted,
         };
--- /dev/null
+++ b/crates/router/src/load/pool/versions.rs
@@ -0,0 +1,82 @@
+//! Requests that only servers of one software version may take.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::state::State;
+use super::{AdmissionRequest, Permit, Pool, ServerId};
+use crate::error::{Fault, Kind};
+use crate::load::placement::Choice;
+use crate::load::prompt_placement::Prompt;
+use crate::load::server::Server;
+
+/// Time between two checks for a server that takes the request.
+const CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// Longest wait for such a server.
+const WAIT_MAX: Duration = Duration::from_secs(2);
+/// Retry delay advised when there is none.
+const RETRY_AFTER: Duration = Duration::from_millis(300);
+
+impl Pool {
+    /// Waits for a permit for a server of the version that `admission` names.
+    pub(super) async fn acquire_for_version(
+        self: &Arc<Self>,
+        admission: &AdmissionRequest,
+        prompt: Prompt,
+    ) -> Result<Permit, Fault> {
+        let deadline = Instant::now() + WAIT_MAX;
+        loop {
+            if let Some(permit) = self.try_acquire_for_version(admission, prompt)? {
+                return Ok(permit);
+            }
+            if Instant::now() >= deadline {
+                let message = "the servers of the version that began the stream are at capacity";
+                return Err(Fault::new(Kind::Overloaded, message).retry_after(RETRY_AFTER));
+            }
+            tokio::time::sleep(CHECK_INTERVAL).await;
+        }
+    }
+
+    fn try_acquire_for_version(
+        self: &Arc<Self>,
+        admission: &AdmissionRequest,
+        prompt: Prompt,
+    ) -> Result<Option<Permit>, Fault> {
+        let now = Instant::now();
+        let mut state = self.lock();
+        if !state.serves_version(admission.version.as_deref(), None, now) {
+            let message = "no backend server has the version that began the stream";
+            return Err(Fault::new(Kind::NoBackendServer, message).retry_after(RETRY_AFTER));
+        }
+        let level = admission.attributes.level;
+        let choice = state.choose(admission, prompt, level, false, self.limits.unstarted, now);
+        let Choice::Server(server) = choice else {
+            return Ok(None);
+        };
+        Ok(Some(self.issue_permit(
+            &mut state, server, admission, prompt, false, now,
+        )))
+    }
+
+    /// Whether a server of this version other than `except` takes requests.
+    #[must_use]
+    pub fn serves_version(&self, version: &str, except: Option<ServerId>) -> bool {
+        let state = self.lock();
+        state.serves_version(Some(version), except, Instant::now())
+    }
+}
+
+impl State {
+    fn serves_version(
+        &self,
+        version: Option<&str>,
+        except: Option<ServerId>,
+        now: Instant,
+    ) -> bool {
+        let fits = |s: &Server| s.declared.version.as_deref() == version && !s.leaving(now);
+        let mut servers = self.servers.iter();
+        servers.any(|(id, server)| fits(server) && Some(id) != except)
+    }
+}
--- a/crates/router/src/load/server.rs
+++ b/crates/router/src/load/server.rs
@@ -29,6 +29,9 @@
 const BACKOFF_MAX: Duration = Duration::from_secs(5);
 /// A server is a straggler if its mean inter-token gap exceeds the pool's median by this factor.
 const STRAGGLER_RATIO: f64 = 2.5;
+/// Time after a failed connection for which the server's version is in doubt: another version may have started
+/// under its id, and its entry may be out of date.
+const VERSION_DOUBT: Duration = Duration::from_secs(3);
 /// Time for which a peer's notice that a server is leaving stays valid.
 const PEER_LEAVING_TTL: Duration = Duration::from_secs(10);
 /// Samples of the inter-token gap that are needed to classify a server as a straggler.
@@ -102,6 +105,8 @@
     gap_samples: u32,
     straggling: bool,
     circuit: Circuit,
+    /// When a connection to the server last couldn't be opened.
+    connect_failed: Option<Instant>,
     /// What is known of the server's rate limit; `None` if it never named one.
     rate_limit: Option<RateLimit>,
 }
@@ -125,6 +130,7 @@
             gap_samples: 0,
             straggling: false,
             circuit: Circuit::Closed,
+            connect_failed: None,
             rate_limit: None,
         }
     }
@@ -159,6 +165,19 @@
         self.available(now) && self.rate_limit.is_none_or(|limit| limit.is_open(now))
     }
 
+    /// Records that a connection to the server couldn't be opened.
+    pub fn record_connect_failure(&mut self, now: Instant) {
+        self.connect_failed = Some(now);
+    }
+
+    /// The version of the server's software; `None` if it isn't known, or in doubt.
+    #[must_use]
+    pub fn version(&self, now: Instant) -> Option<&SmolStr> {
+        let failed = self.connect_failed;
+        let doubted = failed.is_some_and(|at| now.saturating_duration_since(at) < VERSION_DOUBT);
+        self.declared.version.as_ref().filter(|_| !doubted)
+    }
+
     /// What is known of the server's rate limit; `None` if it never named one.
     #[must_use]
     pub const fn rate_limit(&self) -> Option<&RateLimit> {
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -14,6 +14,7 @@
 use crate::fleet::leaving_servers::{LeavingNotice, LeavingServers};
 use crate::fleet::links::PeerLinks;
 use crate::fleet::membership::{InstanceRecord, InstanceState, Membership};
+use crate::fleet::stream_origins::StreamOrigins;
 use crate::load::pools::Pools;
 use crate::metrics::Metrics;
 use crate::request::backend::BackendClient;
@@ -36,6 +37,8 @@
     pub links: PeerLinks,
     /// Notices of backend servers that are leaving.
     pub leaving_servers: LeavingServers,
+    /// Where recent streams began.
+    pub stream_origins: StreamOrigins,
     /// Pools of backend servers.
     pub pools: Pools,
     /// HTTP client for backend servers.
@@ -67,6 +70,7 @@
             changelog: Arc::new(changelog),
             links: PeerLinks::default(),
             leaving_servers: LeavingServers::default(),
+            stream_origins: StreamOrigins::default(),
             backend_client: BackendClient::default(),
             requests: InFlightRequests::default(),
             drain_requested: Notify::new(),
--- a/crates/router/src/reports.rs
+++ b/crates/router/src/reports.rs
@@ -47,6 +47,7 @@
         if !limits.is_empty() {
             node.links.broadcast(&Frame::RateLimits(limits), None);
         }
+        node.stream_origins.flush(&node.links);
         let floors = node.pools.requested_floors();
         if floors != sent_floors && sent_at.elapsed() >= MIN_BROADCAST_INTERVAL {
             node.links.broadcast(&node.heartbeat(), None);
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -197,6 +197,7 @@
         slots,
         fencing: false,
         leaving: false,
+        version: None,
     }
 }
 
--- a/crates/router/tests/frames.rs
+++ b/crates/router/tests/frames.rs
@@ -6,6 +6,7 @@
 use jackdawtally::fleet_demand::ClassSummary;
 use jackdawtally::frame::{self, Floor, FloorKind, Frame, Hello, LinkError, Seal, Side};
 use jackdawtally::object::{Change, Edit, Object};
+use jackdawtally::origin::{Origin, OriginGroup, OriginQuery, OriginReply};
 use jackdawtally::pools::{PoolDemand, PoolLimits};
 use jackdawtally::rate_limit::Notice;
 use uuid::Uuid;
@@ -27,6 +28,13 @@
     ]
 }
 
+fn origin() -> Origin {
+    Origin {
+        service: "s".into(),
+        version: "v1".into(),
+    }
+}
+
 fn all_frames() -> Vec<Frame> {
     let operation = Operation {
         key: Uuid::now_v7(),
@@ -101,6 +109,19 @@
                 age_ms: 70,
             }],
         }]),
+        Frame::StreamOrigins(vec![OriginGroup {
+            origin: origin(),
+            streams: vec![1, u64::MAX],
+        }]),
+        Frame::FindOrigins(vec![OriginQuery {
+            call: 5,
+            stream: 1,
+            hops: 8,
+        }]),
+        Frame::FoundOrigins(vec![OriginReply {
+            call: 5,
+            origin: Some(origin()),
+        }]),
     ]
 }
 
--- a/crates/router/tests/partition.rs
+++ b/crates/router/tests/partition.rs
@@ -32,6 +32,7 @@
             slots: 64,
             fencing: false,
             leaving: false,
+            version: None,
         };
         servers.insert(Server::new(declared, true));
     }
@@ -86,6 +87,7 @@
         avoid: &[],
         prefer: None,
         max_unstarted: 1,
+        version: None,
     }
 }
 
--- a/crates/router/tests/placement.rs
+++ b/crates/router/tests/placement.rs
@@ -35,6 +35,7 @@
         slots: 64,
         fencing: false,
         leaving: false,
+        version: None,
     }
 }
 
@@ -58,6 +59,7 @@
         avoid: &[],
         prefer: None,
         max_unstarted: 1,
+        version: None,
     }
 }
 
--- a/crates/router/tests/pool.rs
+++ b/crates/router/tests/pool.rs
@@ -60,6 +60,7 @@
         max_wait: Duration::from_mins(1),
         avoid: Vec::new(),
         prefer: None,
+        version: None,
     }
 }
 
--- /dev/null
+++ b/crates/router/tests/versions.rs
@@ -0,0 +1,139 @@
+//! Requests that only servers of one software version may take.
+
+mod common;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use jackdawtally::error::Kind;
+use jackdawtally::metrics::Metrics;
+use jackdawtally::object::BackendServer;
+use jackdawtally::pool::{AdmissionRequest, Limits, Permit, Pool, Preemption};
+use jackdawtally::queue::RequestAttributes;
+use tokio::time::Instant;
+
+const MAX_WAIT: Duration = Duration::from_secs(1);
+
+fn server(name: &str, version: Option<&str>, port: u16) -> BackendServer {
+    BackendServer {
+        address: ([127, 0, 0, 1], port).into(),
+        version: version.map(Into::into),
+        ..common::backend_server(name, 1)
+    }
+}
+
+fn pool(servers: &[(&str, Option<&str>)]) -> Arc<Pool> {
+    let limits = Limits {
+        queue_bytes: 1 << 20,
+        unstarted: 0,
+    };
+    let metrics = Arc::new(Metrics::new(None));
+    let pool = Pool::with_preemption("s".into(), limits, metrics, 1, Preemption::ByServer);
+    let servers: Vec<BackendServer> = servers
+        .iter()
+        .zip(1..)
+        .map(|((name, version), port)| server(name, *version, port))
+        .collect();
+    pool.update_servers(&servers.iter().collect::<Vec<_>>(), "north");
+    pool
+}
+
+fn admission(version: Option<&str>) -> AdmissionRequest {
+    AdmissionRequest {
+        attributes: RequestAttributes {
+            level: 0,
+            class: "c".into(),
+            organisation: "o".into(),
+            share: 1,
+            bytes: 1,
+            cost: 1,
+            partial: false,
+        },
+        prefix_hash: 0,
+        first_token_target: None,
+        gap_target: None,
+        latency_sensitive: false,
+        starvation_bound: Duration::from_secs(4),
+        max_wait: MAX_WAIT,
+        version: version.map(Into::into),
+        avoid: Vec::new(),
+        prefer: None,
+    }
+}
+
+async fn acquire(pool: &Arc<Pool>, version: Option<&str>) -> Permit {
+    let permit = pool.acquire(admission(version)).await;
+    permit.expect("the request gets a permit")
+}
+
+#[tokio::test(start_paused = true)]
+async fn request_of_a_version_waits_for_a_server_of_it() {
+    let pool = pool(&[("a", Some("v1")), ("b", Some("v2")), ("c", None)]);
+    let first = acquire(&pool, Some("v1")).await;
+    let waiting = tokio::spawn({
+        let pool = Arc::clone(&pool);
+        async move { acquire(&pool, Some("v1")).await }
+    });
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let waited = !waiting.is_finished();
+
+    drop(first);
+    let second = waiting.await.expect("the task ends");
+
+    assert!(waited);
+    assert_eq!(second.declared.name, "a");
+}
+
+/// A stream that waits for its version at the head of the queue held up requests that any server could take.
+#[tokio::test(start_paused = true)]
+async fn request_of_a_version_does_not_hold_up_others() {
+    let pool = pool(&[("a", Some("v1")), ("b", Some("v2"))]);
+    let _first = acquire(&pool, Some("v1")).await;
+    let _waiting = tokio::spawn({
+        let pool = Arc::clone(&pool);
+        async move { acquire(&pool, Some("v1")).await }
+    });
+    tokio::time::sleep(Duration::from_millis(100)).await;
+
+    let start = Instant::now();
+    let other = acquire(&pool, None).await;
+
+    assert_eq!(other.declared.name, "b");
+    assert_eq!(start.elapsed(), Duration::ZERO);
+}
+
+#[tokio::test(start_paused = true)]
+async fn request_of_a_version_that_no_server_has_is_refused_at_once() {
+    let pool = pool(&[("a", Some("v1")), ("b", None)]);
+
+    let start = Instant::now();
+    let result = pool.acquire(admission(Some("v2"))).await;
+
+    let fault = result.expect_err("no server has the version");
+    assert_eq!(fault.kind, Kind::NoBackendServer);
+    assert!(fault.retry_after.is_some());
+    assert_eq!(start.elapsed(), Duration::ZERO);
+}
+
+/// A server started again under its id with another version, while its entry still named the old one.
+#[tokio::test(start_paused = true)]
+async fn version_is_in_doubt_after_a_failed_connection() {
+    let pool = pool(&[("a", Some("v1"))]);
+    let before = acquire(&pool, None).await;
+    let known = before.version.clone();
+    before.record_connect_failure();
+    drop(before);
+
+    let doubted = acquire(&pool, None).await.version.clone();
+    let refused = pool.acquire(admission(Some("v1"))).await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let trusted = acquire(&pool, Some("v1")).await.version.clone();
+
+    assert_eq!(known.as_deref(), Some("v1"));
+    assert_eq!(doubted, None);
+    assert_eq!(
+        refused.expect_err("it waits in vain").kind,
+        Kind::Overloaded
+    );
+    assert_eq!(trusted.as_deref(), Some("v1"));
+}
--- a/crates/standins/tests/rate_limits.rs
+++ b/crates/standins/tests/rate_limits.rs
@@ -88,6 +88,7 @@
         slots: 64,
         fencing: false,
         leaving: false,
+        version: None,
     }
 }
 
@@ -110,6 +111,7 @@
         max_wait: MAX_WAIT,
         avoid: Vec::new(),
         prefer: None,
+        version: None,
     }
 }
 
