Deduce the version of a stream whose caller names no first attempt

Cause: without a named attempt there is no origin to look up. Change: if the route leads to one service, and all of its servers have had one version for twice the route's timeout, the stream began at that version. That only one version serves now isn't enough. A named attempt that nobody knows is still refused.

--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -81,7 +81,7 @@
             "version",
             "took_ms",
         ],
-        meaning: "a caller takes up a stream that the attempt `first_attempt` began; the outcome is `found`, with the service and the version that the stream is bound to, or `unknown`, and the stream doesn't go on",
+        meaning: "a caller takes up a stream that the attempt `first_attempt` began; the outcome is `found`, with the service and the version that the stream is bound to, `deduced` if the caller doesn't name the attempt and all servers have long had one version, or `unknown`, and the stream doesn't go on",
     },
     EventSpec {
         name: "request.again",
--- a/crates/router/src/forward/origin.rs
+++ b/crates/router/src/forward/origin.rs
@@ -17,6 +17,9 @@
 /// Retry delay advised to a caller whose stream can't go on at this instance.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// Timeouts of its route that a stream lasts at most, over all attempts of its caller.
+const STREAM_TIMEOUTS: u32 = 2;
+
 /// Which servers may take a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Binding {
@@ -101,10 +104,14 @@
             let origins = &node.stream_origins;
             origins.find(stream, &node.membership, &node.links).await
         }
-        None => None,
+        None => deduce(node, request),
     };
     let origin = origin.filter(|origin| request.route.leads_to(&origin.service));
-    let outcome = if origin.is_some() { "found" } else { "unknown" };
+    let outcome = match (&origin, &request.first_attempt) {
+        (Some(_), Some(_)) => "found",
+        (Some(_), None) => "deduced",
+        (None, _) => "unknown",
+    };
     Line::new("stream.origin")
         .field("id", &request.id)
         .optional_field("first_attempt", request.first_attempt.as_ref())
@@ -119,3 +126,18 @@
     });
     origin.map(Binding::Origin).ok_or_else(unknown_origin)
 }
+
+/// The origin of a stream whose caller doesn't name its first attempt: the route's only service, if all of its
+/// servers have had the same version for longer than the stream can have lasted. That they have it now proves
+/// nothing, as the server that began the stream may be gone.
+fn deduce(node: &Node, request: &Request) -> Option<Origin> {
+    let [entry] = request.route.services.as_slice() else {
+        return None;
+    };
+    let longest = request.route.timeout * STREAM_TIMEOUTS;
+    let pool = node.pools.get(&entry.service)?;
+    Some(Origin {
+        service: entry.service.clone(),
+        version: pool.only_version(longest)?,
+    })
+}
--- a/crates/router/src/load/pool/versions.rs
+++ b/crates/router/src/load/pool/versions.rs
@@ -3,10 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use smol_str::SmolStr;
 use tokio::time::Instant;
 
 use super::state::State;
 use super::{AdmissionRequest, Permit, Pool, ServerId};
+use crate::config::object::BackendServer;
 use crate::error::{Fault, Kind};
 use crate::load::placement::Choice;
 use crate::load::prompt_placement::Prompt;
@@ -19,7 +21,43 @@
 /// Retry delay advised when there is none.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// The version that all servers of a pool have, and since when.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct OnlyVersion {
+    version: SmolStr,
+    since: Instant,
+}
+
+impl OnlyVersion {
+    /// Returns what holds after the servers were `declared`, if it was `before` until now.
+    pub(super) fn update(
+        before: Option<Self>,
+        declared: &[&BackendServer],
+        now: Instant,
+    ) -> Option<Self> {
+        let (first, others) = declared.split_first()?;
+        let version = first.version.clone()?;
+        let same = others.iter().all(|s| s.version.as_ref() == Some(&version));
+        let kept = before.filter(|before| before.version == version);
+        same.then(|| {
+            kept.unwrap_or(Self {
+                version,
+                since: now,
+            })
+        })
+    }
+}
+
 impl Pool {
+    /// The version that all servers have had for `time` or longer, those that were removed meanwhile included.
+    #[must_use]
+    pub fn only_version(&self, time: Duration) -> Option<SmolStr> {
+        let state = self.lock();
+        let only = state.only_version.as_ref();
+        let only = only.filter(|only| only.since.elapsed() >= time);
+        only.map(|only| only.version.clone())
+    }
+
     /// Waits for a permit for a server of the version that `admission` names.
     pub(super) async fn acquire_for_version(
         self: &Arc<Self>,
