Take the only version found at the start for what was before, for unnamed streams

Change: an instance that has seen one version only since its start deduces it. From the first change of versions on, the other one must be gone for long enough. Streams with a named attempt are never deduced.

--- a/crates/router/src/forward/origin.rs
+++ b/crates/router/src/forward/origin.rs
@@ -127,9 +127,10 @@
     origin.map(Binding::Origin).ok_or_else(unknown_origin)
 }
 
-/// The origin of a stream whose caller doesn't name its first attempt: the route's only service, if all of its
-/// servers have had the same version for longer than the stream can have lasted. That they have it now proves
-/// nothing, as the server that began the stream may be gone.
+/// The origin of a stream whose caller doesn't name its first attempt, as callers do that know of no versions:
+/// the route's only service, if all of its servers have had one version for longer than the stream can have
+/// lasted. That they have it now proves nothing, as the server that began the stream may be gone. Only an
+/// instance that has just started takes what it finds for what was before.
 fn deduce(node: &Node, request: &Request) -> Option<Origin> {
     let [entry] = request.route.services.as_slice() else {
         return None;
--- a/crates/router/src/load/pool.rs
+++ b/crates/router/src/load/pool.rs
@@ -41,7 +41,7 @@
 pub use permit::Permit;
 
 use state::{Grant, Stage, State, Waiter};
-use versions::OnlyVersion;
+use versions::SeenVersions;
 
 new_key_type! {
     /// Key of a request that holds a permit.
@@ -172,7 +172,7 @@
             preemption,
             queue: Queue::default(),
             servers: SlotMap::with_key(),
-            only_version: None,
+            seen_versions: SeenVersions::default(),
             grants: SlotMap::with_key(),
             classes: HashMap::new(),
             floors: AdmissionFloors::default(),
@@ -211,7 +211,7 @@
     pub fn update_servers(self: &Arc<Self>, declared: &[&BackendServer], data_centre: &str) {
         let now = Instant::now();
         let mut state = self.lock();
-        state.only_version = OnlyVersion::update(state.only_version.take(), declared, now);
+        state.seen_versions.update(declared, now);
         let removed: Vec<ServerId> = state
             .servers
             .iter()
--- a/crates/router/src/load/pool/state.rs
+++ b/crates/router/src/load/pool/state.rs
@@ -10,7 +10,7 @@
 use tokio::sync::{oneshot, watch};
 use tokio::time::Instant;
 
-use super::versions::OnlyVersion;
+use super::versions::SeenVersions;
 use super::{AdmissionRequest, Directive, GrantId, Permit, Preemption, ServerId};
 use crate::config::object::Level;
 use crate::error::{Fault, Kind};
@@ -89,8 +89,7 @@
     pub(super) preemption: Preemption,
     pub(super) queue: Queue<Waiter>,
     pub(super) servers: SlotMap<ServerId, Server>,
-    /// The version that all servers have, if they have the same one.
-    pub(super) only_version: Option<OnlyVersion>,
+    pub(super) seen_versions: SeenVersions,
     pub(super) grants: SlotMap<GrantId, Grant>,
     pub(super) classes: HashMap<SmolStr, ClassStats>,
     pub(super) floors: AdmissionFloors,
--- a/crates/router/src/load/pool/versions.rs
+++ b/crates/router/src/load/pool/versions.rs
@@ -21,41 +21,48 @@
 /// Retry delay advised when there is none.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
 
-/// The version that all servers of a pool have, and since when.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(super) struct OnlyVersion {
-    version: SmolStr,
-    since: Instant,
+/// What this instance has seen of its servers' versions.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(super) enum SeenVersions {
+    /// No server was declared yet.
+    #[default]
+    None,
+    /// All servers have had this version since the instance first saw any.
+    Always(SmolStr),
+    /// All servers have had this version since then.
+    Since(SmolStr, Instant),
+    /// Servers have several versions or none.
+    Mixed,
 }
 
-impl OnlyVersion {
-    /// Returns what holds after the servers were `declared`, if it was `before` until now.
-    pub(super) fn update(
-        before: Option<Self>,
-        declared: &[&BackendServer],
-        now: Instant,
-    ) -> Option<Self> {
-        let (first, others) = declared.split_first()?;
-        let version = first.version.clone()?;
-        let same = others.iter().all(|s| s.version.as_ref() == Some(&version));
-        let kept = before.filter(|before| before.version == version);
-        same.then(|| {
-            kept.unwrap_or(Self {
-                version,
-                since: now,
-            })
-        })
+impl SeenVersions {
+    /// Takes into account that the servers are now `declared`.
+    pub(super) fn update(&mut self, declared: &[&BackendServer], now: Instant) {
+        let Some((first, others)) = declared.split_first() else {
+            return;
+        };
+        let same = others.iter().all(|s| s.version == first.version);
+        let version = first.version.clone().filter(|_| same);
+        *self = match (std::mem::take(self), version) {
+            (Self::None, Some(version)) => Self::Always(version),
+            (Self::Always(seen), Some(version)) if seen == version => Self::Always(seen),
+            (Self::Since(seen, at), Some(version)) if seen == version => Self::Since(seen, at),
+            (_, Some(version)) => Self::Since(version, now),
+            (_, None) => Self::Mixed,
+        };
     }
 }
 
 impl Pool {
-    /// The version that all servers have had for `time` or longer, those that were removed meanwhile included.
+    /// The version that all servers have had for `time` or longer, those that were removed meanwhile included, or
+    /// since the instance first saw any.
     #[must_use]
     pub fn only_version(&self, time: Duration) -> Option<SmolStr> {
-        let state = self.lock();
-        let only = state.only_version.as_ref();
-        let only = only.filter(|only| only.since.elapsed() >= time);
-        only.map(|only| only.version.clone())
+        match &self.lock().seen_versions {
+            SeenVersions::Always(version) => Some(version.clone()),
+            SeenVersions::Since(version, at) if at.elapsed() >= time => Some(version.clone()),
+            SeenVersions::None | SeenVersions::Since(..) | SeenVersions::Mixed => None,
+        }
     }
 
     /// Waits for a permit for a server of the version that `admission` names.
