Repeat notices of rate limits every 20 s

Every 10 s, a tenth of 2,900 servers with limits would cost 8.4 KB a second and instance with six links and 48 bytes a notice: all that an instance may use for control.

--- a/crates/router/src/load/rate_limit.rs
+++ b/crates/router/src/load/rate_limit.rs
@@ -27,11 +27,11 @@
 const RECHECK_AFTER: Duration = Duration::from_secs(2);
 /// Time without news of a limit after which instances that aren't holders ask the server, one after the
 /// other: its holders may have no requests for it.
-const TAKEOVER_AFTER: Duration = Duration::from_secs(30);
+const TAKEOVER_AFTER: Duration = Duration::from_mins(1);
 /// Time between two instances that ask.
 const TAKEOVER_INTERVAL: Duration = Duration::from_secs(1);
 /// Time after which a limit that hasn't changed is announced to the other instances again.
-const REPEAT_AFTER: Duration = Duration::from_secs(10);
+const REPEAT_AFTER: Duration = Duration::from_secs(20);
 
 /// The names of the instances that take requests, for the selection of holders.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
