--- a/crates/router/src/forward/forwarder.rs
+++ b/crates/router/src/forward/forwarder.rs
@@ -5,29 +5,24 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
-use http::{HeaderMap, StatusCode};
+use http::StatusCode;
 use tokio::time::{self, Instant};
 
 use super::access_log::{AccessLog, Outcome};
 use super::attempt::{self, Failure};
 use super::backend_protocol::BackendProtocol;
-use super::connection_pool::{BackendResponse, ConnectionPool};
+use super::connection_pool::ConnectionPool;
 use super::origin::Binding;
 use super::request::{EventId, Request};
-use super::route::{RouteKind, ServiceName};
+use super::route::ServiceName;
 use crate::error::{Fault, Kind, Ran};
-use crate::fleet::origin;
 use crate::http1::{Disconnected, ResponseWriter};
 use crate::load::budget::{self, BudgetLimits, RetryBudget};
 use crate::load::pool::{AdmissionRequest, Permit, Pool};
 use crate::load::prompt_placement::Prompt;
 use crate::load::queue::RequestAttributes;
 use crate::node::Node;
-use crate::sse::EventSplitter;
 
-/// Size limit for buffering a response until it is complete; a larger one is forwarded in chunks.
-const MAX_BUFFERED_BYTES: usize = 256 << 10;
 /// Limit on attempts that fail before a byte is sent. They don't count as attempts of the route.
 const MAX_UNSENT_ATTEMPTS: u32 = 4;
 /// Interval between checks whether a late request may be retried.
@@ -41,6 +36,10 @@
 /// Retry delay advised to callers whose request no backend server could take.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
 
+mod responses;
+
+use responses::BufferedResponse;
+
 /// State shared by all requests of one instance.
 pub struct ForwardContext<P> {
     /// The instance.
@@ -85,13 +84,6 @@
     }
 }
 
-/// A complete response, held in memory.
-struct BufferedResponse {
-    status: StatusCode,
-    headers: HeaderMap,
-    body: Bytes,
-}
-
 /// Result of one attempt.
 enum AttemptResult {
     /// The complete response, with this status, was sent to the caller.
@@ -265,17 +257,18 @@
         retryable && left && self.spend_retry()
     }
 
-    /// Whether the route allows another attempt after the current one, however that ends.
-    fn has_attempts_left(&self) -> bool {
+    /// Whether the current attempt may be abandoned for one at another server, however it ends.
+    fn may_move(&self, permit: &Permit) -> bool {
         let route = &self.request.route;
-        route.kind.is_retryable() && self.attempts + 1 < route.max_attempts
+        let left = route.kind.is_retryable() && self.attempts + 1 < route.max_attempts;
+        left && self.binding.is_served_by(&self.pool, Some(permit.server))
     }
 
     /// Completes when the attempt should be abandoned in favour of a retry: the latency target has passed,
     /// the server has started later requests first, and the retry budget was charged. A server that is merely
     /// slow keeps its requests, as retrying them would add to the load.
     async fn wait_overtaken(&self, permit: &Permit) {
-        if !self.has_attempts_left() {
+        if !self.may_move(permit) {
             return std::future::pending().await;
         }
         time::sleep(self.request.route.latency_target).await;
@@ -290,8 +283,7 @@
         if !started {
             return self.wait_overtaken(permit).await;
         }
-        let elsewhere = self.binding.is_served_by(&self.pool, Some(permit.server));
-        if !self.has_attempts_left() || !elsewhere {
+        if !self.may_move(permit) {
             return std::future::pending().await;
         }
         let gap = self.request.route.gap_target.unwrap_or_default() * STALL_GAP_FACTOR;
@@ -348,159 +340,6 @@
             Err(failure) => Ok(AttemptResult::Failed(failure)),
         }
     }
-
-    /// Receives a response completely, so that it can still be replaced by that of a retry, and sends it to
-    /// the caller.
-    async fn forward_buffered(
-        &mut self,
-        permit: &Permit,
-        mut response: BackendResponse,
-    ) -> Result<AttemptResult, ForwardError> {
-        let status = response.head.status;
-        if !self.response.is_unsent() {
-            return Ok(AttemptResult::Failed(Failure::Failed));
-        }
-        let mut body = BytesMut::new();
-        loop {
-            match response.next_chunk().await {
-                Ok(Some(bytes)) => body.extend_from_slice(&bytes),
-                Ok(None) => break,
-                Err(_) => return Ok(AttemptResult::Failed(Failure::Broken)),
-            }
-            if body.len() > MAX_BUFFERED_BYTES {
-                return self.forward_chunked(permit, response, &body).await;
-            }
-        }
-        permit.mark_started();
-        let buffered = BufferedResponse {
-            status,
-            headers: std::mem::take(&mut response.head.headers),
-            body: body.freeze(),
-        };
-        response.release();
-        permit.record_completion(1);
-        let retryable =
-            status.is_server_error() && self.request.route.kind == RouteKind::Idempotent;
-        if retryable && self.attempts + 1 < self.request.route.max_attempts {
-            self.fallback = Some(buffered);
-            return Ok(AttemptResult::Failed(Failure::Failed));
-        }
-        self.send_buffered(&buffered).await?;
-        Ok(AttemptResult::Done(status))
-    }
-
-    async fn send_buffered(&mut self, buffered: &BufferedResponse) -> Result<(), Disconnected> {
-        self.response
-            .send(buffered.status, &buffered.headers, &buffered.body)
-            .await
-    }
-
-    /// Forwards a response that is too large to be buffered, beginning with the part received so far. From
-    /// here on the request can't be retried.
-    async fn forward_chunked(
-        &mut self,
-        permit: &Permit,
-        mut response: BackendResponse,
-        received: &[u8],
-    ) -> Result<AttemptResult, ForwardError> {
-        let status = response.head.status;
-        permit.mark_started();
-        self.response
-            .start_chunked(status, &response.head.headers, received)
-            .await?;
-        loop {
-            match response.next_chunk().await {
-                Ok(Some(bytes)) => self.response.send_chunk(&bytes).await?,
-                Ok(None) => break,
-                Err(_) => return Err(ForwardError::Fault(Fault::new(Kind::AnswerCut, "broken"))),
-            }
-        }
-        response.release();
-        permit.record_completion(1);
-        self.response.finish().await?;
-        Ok(AttemptResult::Done(status))
-    }
-
-    /// Forwards an event stream. Only complete events are passed on, so that another backend server can
-    /// continue the stream after the last one.
-    async fn forward_stream(
-        &mut self,
-        permit: &Permit,
-        mut response: BackendResponse,
-    ) -> Result<AttemptResult, ForwardError> {
-        let status = response.head.status;
-        let mut splitter = EventSplitter::default();
-        let mut batches = 0;
-        let mut last_event: Option<Instant> = None;
-        loop {
-            let next = tokio::select! {
-                next = response.next_chunk() => next,
-                () = self.wait_stalled(permit, batches > 0) => {
-                    return Ok(AttemptResult::Failed(Failure::Stalled));
-                }
-            };
-            let bytes = match next {
-                Ok(Some(bytes)) => bytes,
-                Ok(None) if splitter.is_empty() => break,
-                Ok(None) | Err(_) => return Ok(AttemptResult::Failed(Failure::Broken)),
-            };
-            splitter.feed(&bytes);
-            let Some(batch) = splitter.events(self.resume_after) else {
-                continue;
-            };
-            let now = Instant::now();
-            match last_event {
-                None => permit.mark_started(),
-                Some(at) => permit.record_pause(now.saturating_duration_since(at)),
-            }
-            last_event = Some(now);
-            batches += 1;
-            self.bind(permit);
-            self.log.record_events();
-            self.send_events(&response, status, &batch.bytes).await?;
-            self.resume_after = batch.last.or(self.resume_after);
-        }
-        permit.record_completion(batches);
-        if self.response.is_unsent() {
-            self.response
-                .start_chunked(status, &response.head.headers, &[])
-                .await?;
-        }
-        response.release();
-        self.response.finish().await?;
-        Ok(AttemptResult::Done(status))
-    }
-
-    /// Binds a stream to the version of the server that brings its first events, and records that for when its
-    /// caller comes back.
-    fn bind(&mut self, permit: &Permit) {
-        if self.binding != Binding::Any {
-            return;
-        }
-        self.binding = Binding::begin(self.service, permit.version.as_ref());
-        self.log.version = self.binding.known_version();
-        if let Binding::Origin(origin) = &self.binding
-            && self.request.route.kind.is_retryable()
-        {
-            let stream = origin::stream_id(&self.request.id);
-            self.context.node.stream_origins.record(stream, origin);
-        }
-    }
-
-    async fn send_events(
-        &mut self,
-        response: &BackendResponse,
-        status: StatusCode,
-        bytes: &[u8],
-    ) -> Result<(), Disconnected> {
-        if self.response.is_unsent() {
-            self.response
-                .start_chunked(status, &response.head.headers, bytes)
-                .await
-        } else {
-            self.response.send_chunk(bytes).await
-        }
-    }
 }
 
 fn admission(request: &Request) -> AdmissionRequest {
--- /dev/null
+++ b/crates/router/src/forward/forwarder/responses.rs
@@ -0,0 +1,185 @@
+//! Passes the response of a backend server on to the caller.
+
+use bytes::{Bytes, BytesMut};
+use http::{HeaderMap, StatusCode};
+use tokio::time::Instant;
+
+use super::{AttemptResult, ForwardError, Forwarder};
+use crate::error::{Fault, Kind};
+use crate::fleet::origin;
+use crate::forward::attempt::Failure;
+use crate::forward::backend_protocol::BackendProtocol;
+use crate::forward::connection_pool::BackendResponse;
+use crate::forward::origin::Binding;
+use crate::forward::route::RouteKind;
+use crate::http1::Disconnected;
+use crate::load::pool::Permit;
+use crate::sse::EventSplitter;
+
+/// Size limit for buffering a response until it is complete; a larger one is forwarded in chunks.
+const MAX_BUFFERED_BYTES: usize = 256 << 10;
+
+/// A complete response, held in memory.
+pub(super) struct BufferedResponse {
+    pub(super) status: StatusCode,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+}
+
+impl<P: BackendProtocol> Forwarder<'_, '_, P> {
+    /// Receives a response completely, so that it can still be replaced by that of a retry, and sends it to
+    /// the caller.
+    pub(super) async fn forward_buffered(
+        &mut self,
+        permit: &Permit,
+        mut response: BackendResponse,
+    ) -> Result<AttemptResult, ForwardError> {
+        let status = response.head.status;
+        if !self.response.is_unsent() {
+            return Ok(AttemptResult::Failed(Failure::Failed));
+        }
+        let mut body = BytesMut::new();
+        loop {
+            match response.next_chunk().await {
+                Ok(Some(bytes)) => body.extend_from_slice(&bytes),
+                Ok(None) => break,
+                Err(_) => return Ok(AttemptResult::Failed(Failure::Broken)),
+            }
+            if body.len() > MAX_BUFFERED_BYTES {
+                return self.forward_chunked(permit, response, &body).await;
+            }
+        }
+        permit.mark_started();
+        let buffered = BufferedResponse {
+            status,
+            headers: std::mem::take(&mut response.head.headers),
+            body: body.freeze(),
+        };
+        response.release();
+        permit.record_completion(1);
+        let retryable =
+            status.is_server_error() && self.request.route.kind == RouteKind::Idempotent;
+        if retryable && self.attempts + 1 < self.request.route.max_attempts {
+            self.fallback = Some(buffered);
+            return Ok(AttemptResult::Failed(Failure::Failed));
+        }
+        self.send_buffered(&buffered).await?;
+        Ok(AttemptResult::Done(status))
+    }
+
+    pub(super) async fn send_buffered(
+        &mut self,
+        buffered: &BufferedResponse,
+    ) -> Result<(), Disconnected> {
+        self.response
+            .send(buffered.status, &buffered.headers, &buffered.body)
+            .await
+    }
+
+    /// Forwards a response that is too large to be buffered, beginning with the part received so far. From
+    /// here on the request can't be retried.
+    async fn forward_chunked(
+        &mut self,
+        permit: &Permit,
+        mut response: BackendResponse,
+        received: &[u8],
+    ) -> Result<AttemptResult, ForwardError> {
+        let status = response.head.status;
+        permit.mark_started();
+        self.response
+            .start_chunked(status, &response.head.headers, received)
+            .await?;
+        loop {
+            match response.next_chunk().await {
+                Ok(Some(bytes)) => self.response.send_chunk(&bytes).await?,
+                Ok(None) => break,
+                Err(_) => return Err(ForwardError::Fault(Fault::new(Kind::AnswerCut, "broken"))),
+            }
+        }
+        response.release();
+        permit.record_completion(1);
+        self.response.finish().await?;
+        Ok(AttemptResult::Done(status))
+    }
+
+    /// Forwards an event stream. Only complete events are passed on, so that another backend server can
+    /// continue the stream after the last one.
+    pub(super) async fn forward_stream(
+        &mut self,
+        permit: &Permit,
+        mut response: BackendResponse,
+    ) -> Result<AttemptResult, ForwardError> {
+        let status = response.head.status;
+        let mut splitter = EventSplitter::default();
+        let mut batches = 0;
+        let mut last_event: Option<Instant> = None;
+        loop {
+            let next = tokio::select! {
+                next = response.next_chunk() => next,
+                () = self.wait_stalled(permit, batches > 0) => {
+                    return Ok(AttemptResult::Failed(Failure::Stalled));
+                }
+            };
+            let bytes = match next {
+                Ok(Some(bytes)) => bytes,
+                Ok(None) if splitter.is_empty() => break,
+                Ok(None) | Err(_) => return Ok(AttemptResult::Failed(Failure::Broken)),
+            };
+            splitter.feed(&bytes);
+            let Some(batch) = splitter.events(self.resume_after) else {
+                continue;
+            };
+            let now = Instant::now();
+            match last_event {
+                None => permit.mark_started(),
+                Some(at) => permit.record_pause(now.saturating_duration_since(at)),
+            }
+            last_event = Some(now);
+            batches += 1;
+            self.bind(permit);
+            self.log.record_events();
+            self.send_events(&response, status, &batch.bytes).await?;
+            self.resume_after = batch.last.or(self.resume_after);
+        }
+        permit.record_completion(batches);
+        if self.response.is_unsent() {
+            self.response
+                .start_chunked(status, &response.head.headers, &[])
+                .await?;
+        }
+        response.release();
+        self.response.finish().await?;
+        Ok(AttemptResult::Done(status))
+    }
+
+    /// Binds a stream to the version of the server that brings its first events, and records that for when its
+    /// caller comes back.
+    fn bind(&mut self, permit: &Permit) {
+        if self.binding != Binding::Any {
+            return;
+        }
+        self.binding = Binding::begin(self.service, permit.version.as_ref());
+        self.log.version = self.binding.known_version();
+        if let Binding::Origin(origin) = &self.binding
+            && self.request.route.kind.is_retryable()
+        {
+            let stream = origin::stream_id(&self.request.id);
+            self.context.node.stream_origins.record(stream, origin);
+        }
+    }
+
+    async fn send_events(
+        &mut self,
+        response: &BackendResponse,
+        status: StatusCode,
+        bytes: &[u8],
+    ) -> Result<(), Disconnected> {
+        if self.response.is_unsent() {
+            self.response
+                .start_chunked(status, &response.head.headers, bytes)
+                .await
+        } else {
+            self.response.send_chunk(bytes).await
+        }
+    }
+}
--- a/crates/router/src/load/pool.rs
+++ b/crates/router/src/load/pool.rs
@@ -8,13 +8,12 @@
 
 use std::collections::{BTreeSet, HashMap};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
 
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use slotmap::{SlotMap, new_key_type};
 use smol_str::SmolStr;
-use tokio::sync::{oneshot, watch};
+use tokio::sync::oneshot;
 use tokio::time::Instant;
 
 use crate::config::object::{BackendServer, Level};
@@ -24,13 +23,14 @@
 use crate::load::demand::Demand;
 use crate::load::fleet_demand::{ClassSummary, FleetDemand};
 use crate::load::partition::Partition;
-use crate::load::placement::Choice;
 use crate::load::prompt_placement::Prompt;
-use crate::load::queue::{EntryId, Queue, RequestAttributes};
+use crate::load::queue::{EntryId, Queue};
 pub use crate::load::server::ServerId;
 use crate::load::server::{Declaration, LoadReport, Server};
 use crate::metrics::Metrics;
 
+mod admission;
+mod dispatch;
 mod periodic;
 mod permit;
 mod prompts;
@@ -38,9 +38,10 @@
 mod state;
 mod versions;
 
+pub use admission::{AdmissionRequest, Directive, Limits, Preemption, Stats};
 pub use permit::Permit;
 
-use state::{Grant, Stage, State, Waiter};
+use state::{State, Waiter};
 use versions::SeenVersions;
 
 new_key_type! {
@@ -57,79 +58,6 @@
 /// Weight of a new sample in the moving average of tokens per response of a class.
 const COST_EWMA_WEIGHT: f64 = 0.1;
 
-/// A request for a permit.
-#[derive(Clone, Debug)]
-pub struct AdmissionRequest {
-    /// Attributes used by the queue. The pool sets `cost` on admission.
-    pub attributes: RequestAttributes,
-    /// Hash of the prompt's prefix for cache affinity, or 0 for none.
-    pub prefix_hash: u64,
-    /// Target for the time to first token; `None` if the class has none.
-    pub first_token_target: Option<Duration>,
-    /// Target for the longest pause between events of the response; `None` if the class has none.
-    pub gap_target: Option<Duration>,
-    /// Whether the class has any latency target; stragglers are avoided then.
-    pub latency_sensitive: bool,
-    /// Longest time that the class may wait without any of its requests being sent (starvation
-    /// bound).
-    pub starvation_bound: Duration,
-    /// Longest time in the queue, after which the request is rejected.
-    pub max_wait: Duration,
-    /// The software version that a server must have to take the request; `None` for any.
-    pub version: Option<SmolStr>,
-    /// Servers that have failed this request; they are used only if no other has capacity.
-    pub avoid: Vec<ServerId>,
-    /// The server that holds the request's paused stream, if any; it is preferred.
-    pub prefer: Option<ServerId>,
-}
-
-/// Instruction of the pool to a request that holds a permit. Later variants take precedence.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Directive {
-    /// Continue.
-    Continue,
-    /// Migrate to another server if possible, because this one is a straggler.
-    Migrate,
-    /// Release the slot for a more important request, and queue again.
-    Preempt,
-    /// The server can't be reached.
-    ServerDown,
-}
-
-/// Limits of one pool at one instance.
-#[derive(Clone, Copy, Debug)]
-pub struct Limits {
-    /// Bytes of waiting requests above which requests are evicted once the evict floor has reached
-    /// the other instances, and above twice of which they are evicted at once.
-    pub queue_bytes: usize,
-    /// Unstarted requests that this instance may have at a server without a free slot.
-    pub unstarted: u32,
-}
-
-/// Who preempts less important requests at a full server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Preemption {
-    /// The pool, by sending [`Directive::Preempt`] to a running request.
-    ByRouter,
-    /// The server, by the priorities of its requests.
-    ByServer,
-}
-
-/// Counters for the status reply.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Stats {
-    /// Requests in the queue of this instance.
-    pub waiting: usize,
-    /// Requests that hold a permit.
-    pub in_flight: usize,
-    /// Servers, including removed ones that still have requests of this instance.
-    pub servers: usize,
-    /// Servers that take new requests.
-    pub available: usize,
-    /// Servers with a rate limit.
-    pub limited: usize,
-}
-
 type PendingReply = (
     oneshot::Sender<Result<Permit, Fault>>,
     Result<Permit, Fault>,
@@ -433,154 +361,10 @@
         self.lock().instances = u32::try_from(instances.max(1)).unwrap_or(u32::MAX);
     }
 
-    /// Issues permits to waiting requests while servers have capacity, those of starving classes
-    /// first.
-    fn dispatch_waiting(self: &Arc<Self>) {
-        let now = Instant::now();
-        let mut state = self.lock();
-        let mut replies = Vec::new();
-        self.grant_starving(&mut state, now, &mut replies);
-        while let Some((entry, server)) = state.next_dispatch(self.limits.unstarted, now) {
-            self.dispatch(&mut state, entry, server, false, now, &mut replies);
-        }
-        drop(state);
-        send_replies(replies);
-    }
-
-    fn dispatch(
-        self: &Arc<Self>,
-        state: &mut State,
-        entry: EntryId,
-        server: ServerId,
-        guard: bool,
-        now: Instant,
-        replies: &mut Vec<PendingReply>,
-    ) {
-        if let Some(dequeued) = state.queue.dequeue(entry) {
-            state.record_progress(&dequeued.attributes.class, now);
-            let (admission, prompt) = (&dequeued.item.admission, dequeued.item.prompt);
-            let permit = self.issue_permit(state, server, admission, prompt, guard, now);
-            replies.push((dequeued.item.reply, Ok(permit)));
-        }
-    }
-
-    fn issue_permit(
-        self: &Arc<Self>,
-        state: &mut State,
-        server: ServerId,
-        admission: &AdmissionRequest,
-        prompt: Prompt,
-        guard: bool,
-        now: Instant,
-    ) -> Permit {
-        let (directive, receiver) = watch::channel(Directive::Continue);
-        let level = admission.attributes.level;
-        let uncached = state.record_prefix(server, admission.prefix_hash, prompt, now);
-        if prompt.is_known() {
-            let class = &admission.attributes.class;
-            state
-                .demand
-                .record_sent(class, admission.gap_target, uncached);
-        }
-        let grant = state.grants.insert(Grant {
-            server,
-            attributes: admission.attributes.clone(),
-            first_token_target: admission.first_token_target,
-            latency_sensitive: admission.latency_sensitive,
-            uncached,
-            guard,
-            sent: now,
-            stage: Stage::Unstarted,
-            directive,
-        });
-        let known = &mut state.servers[server];
-        known.record_sent(level);
-        let version = known.version(now).cloned();
-        let usage = known.rate_limit_mut().and_then(|limit| limit.take(now));
-        if usage.is_some() {
-            self.metrics.count("rate_limit.sent");
-        }
-        Permit {
-            pool: Arc::clone(self),
-            grant,
-            server,
-            declared: known.declared.clone(),
-            priority: if guard { 0 } else { level },
-            version,
-            usage,
-            directive: receiver,
-        }
-    }
-
-    /// Issues a permit with the highest priority to the oldest request of each starving class
-    /// (starvation guard).
-    fn grant_starving(
-        self: &Arc<Self>,
-        state: &mut State,
-        now: Instant,
-        replies: &mut Vec<PendingReply>,
-    ) {
-        for entry in state.starving(now) {
-            let Some(waiter) = state.queue.item(entry) else {
-                continue;
-            };
-            let (admission, prompt) = (waiter.admission.clone(), waiter.prompt);
-            let choice = state.choose(&admission, prompt, 0, true, self.limits.unstarted, now);
-            if let Choice::Server(server) = choice {
-                self.metrics.count("guard.granted");
-                self.dispatch(state, entry, server, true, now, replies);
-            }
-        }
-    }
-
     fn cancel(&self, id: EntryId) {
         self.lock().queue.remove(id);
     }
 
-    fn mark_started(self: &Arc<Self>, grant: GrantId) {
-        let now = Instant::now();
-        let mut state = self.lock();
-        let State {
-            grants,
-            servers,
-            demand,
-            preemption,
-            ..
-        } = &mut *state;
-        if let Some(grant) = grants.get_mut(grant).filter(|g| g.stage != Stage::Started) {
-            grant.stage = Stage::Started;
-            let took = now.saturating_duration_since(grant.sent);
-            demand.record_first_token(grant.uncached, took);
-            if let Some(server) = servers.get_mut(grant.server) {
-                server.remove_unstarted(grant.attributes.level);
-                server.record_newest_started(grant.attributes.level, grant.sent);
-                if *preemption == Preemption::ByRouter && grant.preemptible() {
-                    server.record_preemptible(grant.attributes.level, true);
-                }
-            }
-        }
-        drop(state);
-        self.dispatch_waiting();
-    }
-
-    fn release(self: &Arc<Self>, grant: GrantId) {
-        let mut state = self.lock();
-        let by_router = state.preemption == Preemption::ByRouter;
-        if let Some(grant) = state.grants.remove(grant)
-            && let Some(server) = state.servers.get_mut(grant.server)
-        {
-            server.record_end(grant.attributes.level, grant.stage == Stage::Started);
-            if by_router && grant.preemptible() {
-                server.record_preemptible(grant.attributes.level, false);
-            }
-            if server.declaration == Declaration::Removed && server.in_flight() == 0 {
-                state.remove_server(grant.server);
-            }
-        }
-        drop(state);
-        self.dispatch_waiting();
-    }
-
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -590,13 +374,6 @@
     a.name == b.name && a.address == b.address
 }
 
-fn send_replies(replies: Vec<PendingReply>) {
-    for (reply, result) in replies {
-        // If the caller has disconnected, the permit is dropped here, which releases the slot.
-        let _ = reply.send(result);
-    }
-}
-
 /// Removes a request from the queue when its caller disconnects and the future is dropped.
 struct CancelOnDrop<'a> {
     pool: &'a Arc<Pool>,
--- a/crates/router/src/load/pool/periodic.rs
+++ b/crates/router/src/load/pool/periodic.rs
@@ -5,8 +5,9 @@
 
 use tokio::time::Instant;
 
+use super::dispatch::send_replies;
 use super::state::State;
-use super::{PendingReply, Pool, send_replies};
+use super::{PendingReply, Pool};
 use crate::config::object::Level;
 use crate::error::{Fault, Kind};
 use crate::load::queue::{Dequeued, EntryId};
--- a/crates/router/src/load/pool/rate_limits.rs
+++ b/crates/router/src/load/pool/rate_limits.rs
@@ -30,6 +30,9 @@
     pub fn set_members(self: &Arc<Self>, members: Arc<Members>) {
         let now = Instant::now();
         let mut state = self.lock();
+        if state.members == members {
+            return;
+        }
         for server in state.servers.values_mut() {
             let name = server.name().clone();
             if let Some(limit) = server.rate_limit_mut() {
