Refuse a bound request at once where other instances hold its servers' limits

An instance without a part in the limits of all servers of a stream's version let the caller wait 2 s in vain. Test: request_of_a_version_whose_servers_are_held_by_others_is_refused_at_once. What is kept of the limits of removed servers is bounded in time on every way.

--- a/crates/router/src/load/pool/rate_limits.rs
+++ b/crates/router/src/load/pool/rate_limits.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use log::Level as LogLevel;
+use smol_str::SmolStr;
 use tokio::time::Instant;
 
 use super::state::State;
@@ -142,7 +143,7 @@
             let merge = |limit: &mut RateLimit| limit.merge(statement, now);
             match known.next().map(|(id, _)| id) {
                 Some(server) => self.update_limit(&mut state, server, merge, "", now),
-                None => state.keep_undeclared(notice, statement),
+                None => state.keep_undeclared(&notice.server, statement),
             }
         }
         drop(state);
@@ -190,15 +191,14 @@
             return;
         };
         if let Some(limit) = server.rate_limit() {
-            let name = server.name().clone();
-            self.undeclared_limits.insert(name, *limit.statement());
+            self.keep_undeclared(server.name(), *limit.statement());
         }
     }
 
-    fn keep_undeclared(&mut self, notice: &Notice, statement: Statement) {
+    fn keep_undeclared(&mut self, server: &SmolStr, statement: Statement) {
         self.undeclared_limits
             .retain(|_, kept| kept.heard.elapsed() < UNDECLARED_RETENTION);
-        let kept = self.undeclared_limits.entry(notice.server.clone());
+        let kept = self.undeclared_limits.entry(server.clone());
         let kept = kept.or_insert(statement);
         if statement.supersedes(kept) {
             *kept = statement;
--- a/crates/router/src/load/pool/versions.rs
+++ b/crates/router/src/load/pool/versions.rs
@@ -105,7 +105,7 @@
         )))
     }
 
-    /// Whether a server of this version other than `except` takes requests.
+    /// Whether a server of this version other than `except` takes requests of this instance.
     #[must_use]
     pub fn serves_version(&self, version: &str, except: Option<ServerId>) -> bool {
         let state = self.lock();
@@ -120,7 +120,9 @@
         except: Option<ServerId>,
         now: Instant,
     ) -> bool {
-        let fits = |s: &Server| s.declared.version.as_deref() == version && !s.leaving(now);
+        let fits = |s: &Server| {
+            s.declared.version.as_deref() == version && !s.leaving(now) && !s.is_held_by_others()
+        };
         let mut servers = self.servers.iter();
         servers.any(|(id, server)| fits(server) && Some(id) != except)
     }
--- a/crates/router/src/load/server.rs
+++ b/crates/router/src/load/server.rs
@@ -195,6 +195,13 @@
         self.rate().is_some()
     }
 
+    /// Whether the server names a rate limit of which this instance holds no part.
+    #[must_use]
+    pub fn is_held_by_others(&self) -> bool {
+        let share = self.rate_limit.and_then(|limit| limit.share());
+        share.is_some_and(|share| share <= 0.0)
+    }
+
     /// Whether the rate limit leaves the server less than one request a second for each slot.
     #[must_use]
     pub fn is_constrained(&self) -> bool {
--- a/crates/router/tests/versions.rs
+++ b/crates/router/tests/versions.rs
@@ -115,6 +115,23 @@
     assert_eq!(start.elapsed(), Duration::ZERO);
 }
 
+/// Only other instances may send to the last server of the version: the caller is told at once, and finds one of
+/// them.
+#[tokio::test(start_paused = true)]
+async fn request_of_a_version_whose_servers_are_held_by_others_is_refused_at_once() {
+    let pool = pool(&[("a", Some("v1")), ("b", Some("v2"))]);
+    acquire(&pool, Some("v1"))
+        .await
+        .record_rate_limit(Some(1.0), "r");
+
+    let start = Instant::now();
+    let result = pool.acquire(admission(Some("v1"))).await;
+
+    let fault = result.expect_err("this instance isn't a member that holds a part");
+    assert_eq!(fault.kind, Kind::NoBackendServer);
+    assert_eq!(start.elapsed(), Duration::ZERO);
+}
+
 /// A server started again under its id with another version, while its entry still named the old one.
 #[tokio::test(start_paused = true)]
 async fn version_is_in_doubt_after_a_failed_connection() {
