Forget queries for origins whose callers have left

A caller that disconnected while its stream was looked up left an entry in the table of calls for good. Test: query_of_a_caller_that_left_is_forgotten, which fails without the change (the entry stays).

--- a/crates/router/src/fleet/stream_origins.rs
+++ b/crates/router/src/fleet/stream_origins.rs
@@ -191,6 +191,12 @@
         }
     }
 
+    /// Number of queries of this instance that have no reply yet.
+    #[must_use]
+    pub fn pending(&self) -> usize {
+        self.lock().calls.len()
+    }
+
     /// Number of streams whose origin is known.
     #[must_use]
     pub fn count(&self) -> usize {
@@ -240,6 +246,8 @@
             self.rotated = now;
             self.distinct.retain(|o| Arc::strong_count(o) > 1);
         }
+        // A caller that disconnects drops its query.
+        self.calls.retain(|_, call| !call.reply.is_closed());
         self.relayed
             .retain(|_, (_, at)| now.saturating_duration_since(*at) < QUERY_TIMEOUT * 2);
     }
--- a/crates/router/src/load/pool/versions.rs
+++ b/crates/router/src/load/pool/versions.rs
@@ -26,7 +26,7 @@
 pub(super) enum SeenVersions {
     /// No server was declared yet.
     #[default]
-    None,
+    Unseen,
     /// All servers have had this version since the instance first saw any.
     Always(SmolStr),
     /// All servers have had this version since then.
@@ -44,7 +44,7 @@
         let same = others.iter().all(|s| s.version == first.version);
         let version = first.version.clone().filter(|_| same);
         *self = match (std::mem::take(self), version) {
-            (Self::None, Some(version)) => Self::Always(version),
+            (Self::Unseen, Some(version)) => Self::Always(version),
             (Self::Always(seen), Some(version)) if seen == version => Self::Always(seen),
             (Self::Since(seen, at), Some(version)) if seen == version => Self::Since(seen, at),
             (_, Some(version)) => Self::Since(version, now),
@@ -61,7 +61,7 @@
         match &self.lock().seen_versions {
             SeenVersions::Always(version) => Some(version.clone()),
             SeenVersions::Since(version, at) if at.elapsed() >= time => Some(version.clone()),
-            SeenVersions::None | SeenVersions::Since(..) | SeenVersions::Mixed => None,
+            SeenVersions::Unseen | SeenVersions::Since(..) | SeenVersions::Mixed => None,
         }
     }
 
--- a/crates/router/tests/stream_origins.rs
+++ b/crates/router/tests/stream_origins.rs
@@ -240,6 +240,19 @@
     }
 }
 
+/// A caller that left while its stream was looked up left the query in memory.
+#[tokio::test(start_paused = true)]
+async fn query_of_a_caller_that_left_is_forgotten() {
+    let fleet = Fleet::new(59);
+
+    let left = tokio::time::timeout(TICK, fleet.find(0, stream(1))).await;
+    let before = fleet.instances[0].origins.pending();
+    tokio::time::sleep(TICK * 2).await;
+
+    assert!(left.is_err());
+    assert_eq!((before, fleet.instances[0].origins.pending()), (1, 0));
+}
+
 /// Origins are forgotten after their streams can't be taken up any more.
 #[tokio::test(start_paused = true)]
 async fn old_origins_are_forgotten() {
