--- a/crates/standins/src/rate_check.rs
+++ b/crates/standins/src/rate_check.rs
@@ -74,7 +74,7 @@
         self.arrivals.len()
     }
 
-    /// The windows with the most arrivals beyond what is allowed; `None` if there is no excess.
+    /// The window with the most arrivals beyond what is allowed; `None` if there is no excess.
     #[must_use]
     pub fn excess(&self) -> Option<Excess> {
         let first = self.named.iter().find(|(_, rate)| rate.is_some())?.0;
--- a/crates/standins/tests/rate_limits.rs
+++ b/crates/standins/tests/rate_limits.rs
@@ -341,7 +341,8 @@
     }
 }
 
-/// Half of the servers name limits of several sizes, among them zero and less than one.
+/// Limits below one request a second are exceeded by one request from each instance. Half of the servers name limits
+/// of several sizes, among them zero and less than one.
 #[tokio::test(start_paused = true)]
 async fn limits_of_several_servers_hold() {
     for (instances, load) in FLEETS {
@@ -453,7 +454,8 @@
     fleet.assert_limits_hold();
 }
 
-/// Members come and go one after the other, so that holders change all the time.
+/// Each new holder that begins with a request saved up raises the rate: members come and go one after the other, so
+/// that holders change all the time.
 #[tokio::test(start_paused = true)]
 async fn limit_holds_while_members_join_and_leave() {
     for (instances, load) in [(7, 80.0), (59, 200.0)] {
@@ -468,7 +470,7 @@
     }
 }
 
-/// The holders of a limit get no requests, and the server withdraws its limit: another instance hears of it.
+/// A limit whose holders get no requests would never end: the server withdraws it, and another instance hears.
 #[tokio::test(start_paused = true)]
 async fn withdrawn_limit_is_heard_although_its_holders_are_idle() {
     let mut fleet = Fleet::new(7, 2, 40.0);
