--- a/crates/router/tests/stream_origins.rs
+++ b/crates/router/tests/stream_origins.rs
@@ -180,6 +180,8 @@
     stream_id(&format!("attempt-{number}"))
 }
 
+/// A caller that came back at another instance got its stream continued by any version, as only the instance
+/// that began it could have known.
 #[tokio::test(start_paused = true)]
 async fn every_instance_finds_where_a_stream_began() {
     for count in [1, 2, 3, 7, 59, 250, 490] {
@@ -197,7 +199,8 @@
     }
 }
 
-/// A tenth of the instances is gone. What they began less than a copy interval ago is lost with them.
+/// Origins that only the instance that began a stream remembers are lost with it. A tenth of the instances is
+/// gone; only what they began less than a copy interval ago may be lost.
 #[tokio::test(start_paused = true)]
 async fn streams_of_dead_instances_are_found() {
     for count in [3, 7, 59, 250, 490] {
--- a/crates/router/tests/versions.rs
+++ b/crates/router/tests/versions.rs
@@ -66,6 +66,7 @@
     permit.expect("the request gets a permit")
 }
 
+/// A broken stream went on at whichever server was free first, of any version.
 #[tokio::test(start_paused = true)]
 async fn request_of_a_version_waits_for_a_server_of_it() {
     let pool = pool(&[("a", Some("v1")), ("b", Some("v2")), ("c", None)]);
@@ -102,6 +103,7 @@
     assert_eq!(start.elapsed(), Duration::ZERO);
 }
 
+/// A stream whose version is gone would wait for the caller's deadline in vain.
 #[tokio::test(start_paused = true)]
 async fn request_of_a_version_that_no_server_has_is_refused_at_once() {
     let pool = pool(&[("a", Some("v1")), ("b", None)]);
