Keep prompt segments that crash backend servers from them, at all instances

Cause: nothing connected a lost connection with the prompts that were open at the server, and each instance sees few of the crashes. Class of fault: evidence that is only conclusive over all instances, as with rate limits.

Ruled out: overload of the rest (the first servers end with two requests open, at an unchanged load); slow servers taken for dead ones (the operators' log has their new starts). At each end all instances lose their connections within 4 ms, new ones are refused, and a request with a head and no event was open.

Crashes are reported with the shared segments of the prompts whose responses had not gone past their beginning; a response that goes on clears its segments everywhere; four crashes with three prompts put a segment into quarantine, at the gate before the permit. Lines server.crash, prompt.quarantine and request.lost.

--- a/crates/router/src/adapters/callers.rs
+++ b/crates/router/src/adapters/callers.rs
@@ -348,6 +348,7 @@
             cost: 1,
             partial: false,
         },
+        identity: Arc::default(),
         prefix_hash,
         first_token_target: class.first_token_ms.map(Duration::from_millis),
         gap_target: None,
--- a/crates/router/src/error.rs
+++ b/crates/router/src/error.rs
@@ -101,6 +101,8 @@
     KeyNotRun => ("idempotency_key_not_run", 409, "conflict_error", No);
     /// The pool is overloaded and the request was shed.
     Overloaded => ("overloaded", 429, "overloaded_error", No);
+    /// Backend servers crash under a segment of the prompt, which is kept from them for now.
+    PromptQuarantined => ("prompt_quarantined", 503, "invalid_request_error", No);
     /// The deadline of the caller can no longer be met.
     DeadlineExceeded => ("deadline_exceeded", 504, "timeout_error", No);
     /// The instance is draining and accepts no new requests.
--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -66,6 +66,21 @@
         fields: &["server", "state", "rate", "share", "number", "age_ms", "id"],
         meaning: "the rate limit of a backend server was `named`, `changed` or has `ended`; `rate` is for all instances, `share` this instance's part, both in requests a second; `number` counts the changes; `id` is the request whose response said so, and absent if another instance told this one",
     },
+    EventSpec {
+        name: "server.crash",
+        fields: &["server", "state", "suspects", "source"],
+        meaning: "a crash of a backend server was `reported`, with the number of prompt segments that may be the cause, or `refuted`, as the server responds; the source is `own` or `peer`",
+    },
+    EventSpec {
+        name: "prompt.quarantine",
+        fields: &["segment", "state", "crashes", "source"],
+        meaning: "requests with a prompt segment are kept from backend servers, as so many crashed under it (`begun`), or are sent again, as a response to one of them went on (`ended`); the source is `own` or `peer`",
+    },
+    EventSpec {
+        name: "request.lost",
+        fields: &["id", "server", "begun", "segments"],
+        meaning: "the connection of a request to its backend server was lost; `begun` tells whether the response had gone past its beginning, `segments` names the prompt segments that others have too",
+    },
     EventSpec {
         name: "request.refused",
         fields: &["id", "host", "path", "cause", "config"],
--- a/crates/router/src/fleet/frame.rs
+++ b/crates/router/src/fleet/frame.rs
@@ -15,10 +15,10 @@
 use crate::fleet::membership::InstanceRecord;
 use crate::fleet::origin::{OriginGroup, OriginQuery, OriginReply};
 pub use crate::load::admission_floors::FloorKind;
-use crate::load::pools::{PoolDemand, PoolLimits};
+use crate::load::pools::{PoolCrashes, PoolDemand, PoolLimits};
 
 /// Newest version of the peer protocol that this build supports.
-pub const PROTOCOL: u16 = 2;
+pub const PROTOCOL: u16 = 3;
 /// Oldest version of the peer protocol that this build supports.
 pub const PROTOCOL_MIN: u16 = 1;
 /// Maximum size of a sealed frame, in bytes.
@@ -113,6 +113,8 @@
     FindOrigins(Vec<OriginQuery>),
     /// Replies to `FindOrigins`.
     FoundOrigins(Vec<OriginReply>),
+    /// What is known of crashes of backend servers, and of the prompt segments that cause them.
+    Crashes(Vec<PoolCrashes>),
 }
 
 impl Frame {
@@ -124,6 +126,7 @@
             | Self::StreamOrigins(_)
             | Self::FindOrigins(_)
             | Self::FoundOrigins(_) => 2,
+            Self::Crashes(_) => 3,
             _ => 1,
         }
     }
--- a/crates/router/src/fleet/link.rs
+++ b/crates/router/src/fleet/link.rs
@@ -295,6 +295,10 @@
         if !limits.is_empty() {
             self.send(&Frame::RateLimits(limits)).await?;
         }
+        let crashes = self.node.pools.crash_notices();
+        if !crashes.is_empty() {
+            self.send(&Frame::Crashes(crashes)).await?;
+        }
         loop {
             tokio::select! {
                 message = self.socket.next() => {
@@ -427,6 +431,7 @@
                 node.mark_server_leaving(&server, at_ms, Some(&self.peer.id));
             }
             Frame::RateLimits(limits) => node.pools.merge_limits(&limits),
+            Frame::Crashes(crashes) => node.pools.merge_crashes(&crashes),
             Frame::StreamOrigins(groups) => node.stream_origins.keep(&groups),
             Frame::FindOrigins(queries) => {
                 node.stream_origins.receive_queries(&queries, &self.peer.id);
--- a/crates/router/src/forward/access_log.rs
+++ b/crates/router/src/forward/access_log.rs
@@ -16,6 +16,7 @@
 use crate::error::Fault;
 use crate::event::{self, Line};
 use crate::load::pool::Permit;
+use crate::load::quarantine::SegmentId;
 use crate::load::rate_limit::Usage;
 use crate::metrics::{Metrics, RequestSummary};
 
@@ -117,6 +118,23 @@
         }
     }
 
+    /// Number of batches of events that were forwarded to the caller.
+    #[must_use]
+    pub const fn events(&self) -> u64 {
+        self.events
+    }
+
+    /// Writes a log line that the connection to the server was lost.
+    pub fn lose(&self, server: &str, begun: bool, segments: &[SegmentId]) {
+        let segments: Vec<String> = segments.iter().map(|s| format!("{s:x}")).collect();
+        Line::new("request.lost")
+            .field("id", &self.request.id)
+            .field("server", server)
+            .field("begun", begun)
+            .field("segments", segments.join(","))
+            .write(Level::Info);
+    }
+
     /// Records that the latest attempt failed, and writes a log line that says whether a retry is allowed.
     pub fn fail_attempt(&mut self, failure: Failure, allowed: bool) {
         let left = self
--- a/crates/router/src/forward/connection_pool.rs
+++ b/crates/router/src/forward/connection_pool.rs
@@ -2,6 +2,7 @@
 //! time, and is reused only while the server can be expected to keep it open.
 
 use std::collections::HashMap;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -71,6 +72,19 @@
 #[derive(Clone, Debug, Default)]
 pub struct ConnectionPool {
     idle: Arc<Mutex<HashMap<SocketAddr, Vec<Idle>>>>,
+    /// When bytes of any server were last received.
+    last_contact: Arc<Mutex<Option<Instant>>>,
+}
+
+/// Result of an attempt to open a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reachability {
+    /// The connection was opened.
+    Connected,
+    /// Nothing listens at the address.
+    Refused,
+    /// There was no response in time, or another error.
+    NoResponse,
 }
 
 /// A response whose body is being received. If it is dropped without `release`, its connection is closed,
@@ -103,7 +117,10 @@
                 None => (connect(address).await?, false),
             };
             match connection.sender.try_send_request(request).await {
-                Ok(response) => return Ok(self.wrap(connection, response)),
+                Ok(response) => {
+                    self.record_contact();
+                    return Ok(self.wrap(connection, response));
+                }
                 Err(mut error) => match error.take_message() {
                     // The server closed the idle connection before any byte was sent on it.
                     Some(unsent) if reused => request = unsent,
@@ -114,6 +131,33 @@
         }
     }
 
+    /// Opens a connection and closes it again.
+    pub async fn probe(&self, address: SocketAddr) -> Reachability {
+        match time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+            Ok(Ok(_)) => Reachability::Connected,
+            Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                Reachability::Refused
+            }
+            Ok(Err(_)) | Err(_) => Reachability::NoResponse,
+        }
+    }
+
+    /// When bytes of any server were last received; `None` before the first.
+    #[must_use]
+    pub fn last_contact(&self) -> Option<Instant> {
+        *self.lock_contact()
+    }
+
+    fn record_contact(&self) {
+        *self.lock_contact() = Some(Instant::now());
+    }
+
+    fn lock_contact(&self) -> MutexGuard<'_, Option<Instant>> {
+        self.last_contact
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn wrap(&self, mut connection: Connection, response: Response<Incoming>) -> BackendResponse {
         let (head, body) = response.into_parts();
         connection.idle_timeout = idle_timeout(&head.headers);
@@ -218,6 +262,7 @@
                 None => return Ok(None),
                 Some(Ok(frame)) => {
                     if let Ok(bytes) = frame.into_data() {
+                        self.pool.record_contact();
                         return Ok(Some(bytes));
                     }
                 }
--- a/crates/router/src/forward/forwarder.rs
+++ b/crates/router/src/forward/forwarder.rs
@@ -12,6 +12,7 @@
 use super::attempt::{self, Failure};
 use super::backend_protocol::BackendProtocol;
 use super::connection_pool::ConnectionPool;
+use super::crash;
 use super::origin::Binding;
 use super::request::{EventId, Request};
 use super::route::ServiceName;
@@ -33,6 +34,8 @@
 const MIN_STALL: Duration = Duration::from_secs(1);
 /// Longest time for which a route may have queued requests without any of them being sent.
 const STARVATION_BOUND: Duration = Duration::from_secs(4);
+/// Batches of events with which a response has gone past its beginning.
+const BEGUN_BATCHES: u64 = 2;
 /// Retry delay advised to callers whose request no backend server could take.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
 
@@ -209,6 +212,9 @@
                 AttemptResult::Done(status) => return Ok(status),
                 AttemptResult::Failed(failure) => failure,
             };
+            if matches!(failure, Failure::NoAnswer | Failure::Broken) {
+                self.record_loss(&permit);
+            }
             self.admission.avoid.push(permit.server);
             drop(permit);
             if failure == Failure::NotSent {
@@ -224,6 +230,19 @@
         }
     }
 
+    /// Records that the connection of the attempt was lost, and starts a check whether its server crashed.
+    fn record_loss(&self, permit: &Permit) {
+        let server = &permit.declared.name;
+        let begun = self.log.events() >= BEGUN_BATCHES;
+        self.log
+            .lose(server, begun, &self.admission.identity.shared);
+        if let Some(suspected) = permit.record_loss(begun) {
+            let connections = self.context.connections.clone();
+            let pool = Arc::clone(permit.pool());
+            tokio::spawn(crash::check(connections, pool, suspected));
+        }
+    }
+
     async fn acquire_permit(&mut self) -> Result<Permit, ForwardError> {
         let mut admission = self.admission.clone();
         admission.version = self.binding.version().map_err(ForwardError::Fault)?;
@@ -355,6 +374,7 @@
             cost: 1,
             partial: false,
         },
+        identity: Arc::new(request.prompt_identity()),
         prefix_hash: request.affinity_key(),
         first_token_target: Some(route.latency_target),
         gap_target: route.gap_target,
--- a/crates/router/src/forward/forwarder/responses.rs
+++ b/crates/router/src/forward/forwarder/responses.rs
@@ -4,7 +4,7 @@
 use http::{HeaderMap, StatusCode};
 use tokio::time::Instant;
 
-use super::{AttemptResult, ForwardError, Forwarder};
+use super::{AttemptResult, BEGUN_BATCHES, ForwardError, Forwarder};
 use crate::error::{Fault, Kind};
 use crate::fleet::origin;
 use crate::forward::attempt::Failure;
@@ -57,6 +57,9 @@
         };
         response.release();
         permit.record_completion(1);
+        if status.is_success() {
+            permit.record_sound();
+        }
         let retryable =
             status.is_server_error() && self.request.route.kind == RouteKind::Idempotent;
         if retryable && self.attempts + 1 < self.request.route.max_attempts {
@@ -138,10 +141,15 @@
             batches += 1;
             self.bind(permit);
             self.log.record_events();
+            permit.record_response();
+            if batches == BEGUN_BATCHES {
+                permit.record_sound();
+            }
             self.send_events(&response, status, &batch.bytes).await?;
             self.resume_after = batch.last.or(self.resume_after);
         }
         permit.record_completion(batches);
+        permit.record_sound();
         if self.response.is_unsent() {
             self.response
                 .start_chunked(status, &response.head.headers, &[])
--- a/crates/router/src/forward/mod.rs
+++ b/crates/router/src/forward/mod.rs
@@ -10,6 +10,7 @@
 pub mod backend_protocol;
 pub mod config_snapshot;
 pub mod connection_pool;
+pub mod crash;
 pub mod forwarder;
 pub mod origin;
 pub mod request;
--- a/crates/router/src/forward/request.rs
+++ b/crates/router/src/forward/request.rs
@@ -9,6 +9,7 @@
 
 use super::route::Route;
 use crate::config::object::Level;
+use crate::load::quarantine::PromptIdentity;
 
 /// The id of an event in an event stream; ids increase along the stream.
 pub type EventId = u64;
@@ -89,6 +90,16 @@
         self.shared().iter().map(|s| s.tokens).sum()
     }
 
+    /// The identity of the prompt, as far as it may crash a server.
+    #[must_use]
+    pub fn prompt_identity(&self) -> PromptIdentity {
+        let own = self.prompt.segments.last().map(|s| s.id);
+        PromptIdentity {
+            shared: self.shared().iter().map(|s| s.id).collect(),
+            prompt: own.unwrap_or_default(),
+        }
+    }
+
     /// All segments of the prompt but the last, which is the request's own.
     fn shared(&self) -> &[PromptSegment] {
         let segments = self.prompt.segments.split_last();
--- a/crates/router/src/load/mod.rs
+++ b/crates/router/src/load/mod.rs
@@ -12,6 +12,7 @@
 pub mod pools;
 pub mod prompt_placement;
 pub mod quantile;
+pub mod quarantine;
 pub mod queue;
 pub mod rate_limit;
 pub mod server;
--- a/crates/router/src/load/pool.rs
+++ b/crates/router/src/load/pool.rs
@@ -24,12 +24,14 @@
 use crate::load::fleet_demand::{ClassSummary, FleetDemand};
 use crate::load::partition::Partition;
 use crate::load::prompt_placement::Prompt;
+use crate::load::quarantine::Quarantine;
 use crate::load::queue::{EntryId, Queue};
 pub use crate::load::server::ServerId;
 use crate::load::server::{Declaration, LoadReport, Server};
 use crate::metrics::Metrics;
 
 mod admission;
+mod crashes;
 mod dispatch;
 mod periodic;
 mod permit;
@@ -39,6 +41,7 @@
 mod versions;
 
 pub use admission::{AdmissionRequest, Directive, Limits, Preemption, Stats};
+pub use crashes::SuspectedCrash;
 pub use permit::Permit;
 
 use state::{State, Waiter};
@@ -112,6 +115,8 @@
             members: Arc::default(),
             undeclared_limits: HashMap::new(),
             announcements: BTreeSet::new(),
+            quarantine: Quarantine::new(Instant::now()),
+            losses: HashMap::new(),
             partitioned: None,
             retry_tokens: RETRY_TOKENS_INITIAL,
             cached_prefixes: HashMap::new(),
@@ -174,7 +179,8 @@
     ///
     /// # Errors
     /// `overloaded` if the request is below the evict floor, is evicted or reaches its longest
-    /// wait; `no_backend_server` if it reaches its longest wait while no server is available.
+    /// wait; `no_backend_server` if it reaches its longest wait while no server is available;
+    /// `prompt_quarantined` if its prompt crashes servers.
     pub async fn acquire(self: &Arc<Self>, admission: AdmissionRequest) -> Result<Permit, Fault> {
         self.acquire_for_prompt(admission, Prompt::default()).await
     }
@@ -189,6 +195,7 @@
         mut admission: AdmissionRequest,
         prompt: Prompt,
     ) -> Result<Permit, Fault> {
+        self.wait_for_suspect(&admission).await?;
         if admission.version.is_some() {
             return self.acquire_for_version(&admission, prompt).await;
         }
@@ -326,6 +333,7 @@
             servers: state.servers.len(),
             available: state.servers.values().filter(|s| s.available(now)).count(),
             limited: state.servers.values().filter(|s| s.is_limited()).count(),
+            quarantined: state.quarantine.len(),
         }
     }
 
--- a/crates/router/src/load/pool/admission.rs
+++ b/crates/router/src/load/pool/admission.rs
@@ -1,10 +1,12 @@
 //! What a pool is told of a request, what it tells the request in return, and its limits.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use smol_str::SmolStr;
 
 use super::ServerId;
+use crate::load::quarantine::PromptIdentity;
 use crate::load::queue::RequestAttributes;
 
 /// A request for a permit.
@@ -25,6 +27,8 @@
     pub starvation_bound: Duration,
     /// Longest time in the queue, after which the request is rejected.
     pub max_wait: Duration,
+    /// Identity of the prompt; empty if the prompt has no segments that others have too.
+    pub identity: Arc<PromptIdentity>,
     /// The software version that a server must have to take the request; `None` for any.
     pub version: Option<SmolStr>,
     /// Servers that have failed this request; they are used only if no other has capacity.
@@ -78,4 +82,6 @@
     pub available: usize,
     /// Servers with a rate limit.
     pub limited: usize,
+    /// Prompt segments in quarantine.
+    pub quarantined: usize,
 }
--- a/crates/router/src/load/pool/dispatch.rs
+++ b/crates/router/src/load/pool/dispatch.rs
@@ -71,6 +71,8 @@
             latency_sensitive: admission.latency_sensitive,
             uncached,
             guard,
+            identity: Arc::clone(&admission.identity),
+            sound: false,
             sent: now,
             stage: Stage::Unstarted,
             directive,
--- a/crates/router/src/load/pool/permit.rs
+++ b/crates/router/src/load/pool/permit.rs
@@ -10,7 +10,7 @@
 
 use super::{
     COST_EWMA_WEIGHT, Directive, GrantId, Pool, RETRY_TOKENS_MAX, RETRY_TOKENS_PER_SUCCESS,
-    ServerId,
+    ServerId, SuspectedCrash,
 };
 use crate::config::object::{BackendServer, Level};
 use crate::load::rate_limit::{Rate, Usage};
@@ -65,6 +65,29 @@
         self.pool.record_rate_limit(self.grant, rate, id);
     }
 
+    /// Records that the response went on past its beginning, so that its prompt doesn't crash servers.
+    pub fn record_sound(&self) {
+        self.pool.record_sound(self.grant);
+    }
+
+    /// Records that the server sent a part of the response.
+    pub fn record_response(&self) {
+        self.pool.record_response(self.grant);
+    }
+
+    /// Records that the connection was lost; `begun` tells whether the response had gone past its beginning.
+    /// Returns the server if it is now to be checked for a crash.
+    #[must_use]
+    pub fn record_loss(&self, begun: bool) -> Option<SuspectedCrash> {
+        self.pool.record_loss(self.grant, begun)
+    }
+
+    /// The pool that issued the permit.
+    #[must_use]
+    pub const fn pool(&self) -> &Arc<Pool> {
+        &self.pool
+    }
+
     /// Records the mean inter-token gap over a part of the response, in ms. Ignored while or
     /// shortly after this instance itself was paused.
     pub fn record_gap(&self, gap_ms: f64) {
--- a/crates/router/src/load/pool/state.rs
+++ b/crates/router/src/load/pool/state.rs
@@ -10,6 +10,7 @@
 use tokio::sync::{oneshot, watch};
 use tokio::time::Instant;
 
+use super::crashes::Loss;
 use super::versions::SeenVersions;
 use super::{AdmissionRequest, Directive, GrantId, Permit, Preemption, ServerId};
 use crate::config::object::Level;
@@ -21,6 +22,7 @@
 use crate::load::partition::Partition;
 use crate::load::placement::{Choice, Criteria};
 use crate::load::prompt_placement::{Prompt, PromptRequest};
+use crate::load::quarantine::{PromptIdentity, Quarantine};
 use crate::load::queue::{EntryId, Queue, RequestAttributes};
 use crate::load::rate_limit::{Members, Statement};
 use crate::load::server::Server;
@@ -65,6 +67,9 @@
     /// Prompt tokens that the server has to prefill for it.
     pub(super) uncached: u32,
     pub(super) guard: bool,
+    pub(super) identity: Arc<PromptIdentity>,
+    /// Whether the response has gone past its beginning.
+    pub(super) sound: bool,
     pub(super) sent: Instant,
     pub(super) stage: Stage,
     pub(super) directive: watch::Sender<Directive>,
@@ -108,6 +113,10 @@
     pub(super) undeclared_limits: HashMap<SmolStr, Statement>,
     /// Servers whose rate limits are to be announced to the other instances.
     pub(super) announcements: BTreeSet<SmolStr>,
+    /// Crashes of servers, and the prompt segments that cause them.
+    pub(super) quarantine: Quarantine,
+    /// Lost connections of which it isn't known yet whether the server crashed, by its name.
+    pub(super) losses: HashMap<SmolStr, Loss>,
     /// When the partition was last adapted to the demand.
     pub(super) partitioned: Option<Instant>,
     pub(super) retry_tokens: f64,
--- a/crates/router/src/load/pool/versions.rs
+++ b/crates/router/src/load/pool/versions.rs
@@ -73,6 +73,7 @@
     ) -> Result<Permit, Fault> {
         let deadline = Instant::now() + WAIT_MAX;
         loop {
+            self.wait_for_suspect(admission).await?;
             if let Some(permit) = self.try_acquire_for_version(admission, prompt)? {
                 return Ok(permit);
             }
--- a/crates/router/src/load/pools.rs
+++ b/crates/router/src/load/pools.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
@@ -12,6 +12,7 @@
 use crate::load::admission_floors::FloorKind;
 use crate::load::fleet_demand::ClassSummary;
 use crate::load::pool::{Limits, Pool, Preemption, ServerId};
+use crate::load::quarantine;
 use crate::load::rate_limit::{Members, Notice};
 use crate::metrics::Metrics;
 use crate::rendezvous;
@@ -19,6 +20,10 @@
 
 /// Maximum number of backend servers of one pool that an instance sends requests to.
 const SUBSET_SIZE: usize = 64;
+/// Maximum number of unknown pools of which peers' notices are kept.
+const MAX_EARLY_POOLS: usize = 32;
+/// Maximum number of notices that are kept for each of them.
+const MAX_EARLY_NOTICES: usize = 512;
 
 /// A server that was added to a pool.
 pub struct NewServer {
@@ -38,6 +43,8 @@
     by_name: Mutex<HashMap<SmolStr, Arc<Pool>>>,
     /// Number of calls of [`Self::next_demand`].
     demand_turn: AtomicUsize,
+    /// What peers said of crashes in pools that this instance doesn't know yet.
+    early_crashes: Mutex<HashMap<SmolStr, Vec<quarantine::Notice>>>,
 }
 
 /// Demand for one pool, as exchanged between instances.
@@ -62,6 +69,17 @@
     pub limits: Vec<Notice>,
 }
 
+/// What is known of crashes of one pool's servers, as exchanged between instances.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PoolCrashes {
+    /// Name of the pool.
+    #[serde(rename = "p")]
+    pub pool: SmolStr,
+    /// What is known.
+    #[serde(rename = "n")]
+    pub notices: Vec<quarantine::Notice>,
+}
+
 impl Pools {
     /// Creates an empty set of pools.
     #[must_use]
@@ -76,6 +94,7 @@
             limits,
             by_name: Mutex::default(),
             demand_turn: AtomicUsize::new(0),
+            early_crashes: Mutex::default(),
         }
     }
 
@@ -168,6 +187,57 @@
         }
     }
 
+    /// Takes the notices on crashes that are due to be sent to the other instances.
+    #[must_use]
+    pub fn take_crash_notices(&self) -> Vec<PoolCrashes> {
+        self.collect_crashes(Pool::take_crash_notices)
+    }
+
+    /// All that is known of crashes, for an instance that has just been linked.
+    #[must_use]
+    pub fn crash_notices(&self) -> Vec<PoolCrashes> {
+        self.collect_crashes(Pool::crash_notices)
+    }
+
+    fn collect_crashes(
+        &self,
+        notices: impl Fn(&Pool) -> Vec<quarantine::Notice>,
+    ) -> Vec<PoolCrashes> {
+        let pools = self.all();
+        let collected = pools.iter().map(|pool| PoolCrashes {
+            pool: pool.name().clone(),
+            notices: notices(pool),
+        });
+        collected.filter(|p| !p.notices.is_empty()).collect()
+    }
+
+    /// Takes into account what a peer knows of crashes. An instance that has just started may learn of them
+    /// before it knows the pool.
+    pub fn merge_crashes(&self, peer: &[PoolCrashes]) {
+        for PoolCrashes { pool, notices } in peer {
+            match self.get(pool) {
+                Some(pool) => pool.merge_crashes(notices),
+                None => self.keep_early(pool, notices),
+            }
+        }
+    }
+
+    fn keep_early(&self, pool: &SmolStr, notices: &[quarantine::Notice]) {
+        let mut early = self.lock_early();
+        if early.len() >= MAX_EARLY_POOLS && !early.contains_key(pool) {
+            log::warn!("pool={pool} crashes=dropped reason=\"too many unknown pools\"");
+            return;
+        }
+        let kept = early.entry(pool.clone()).or_default();
+        let room = MAX_EARLY_NOTICES.saturating_sub(kept.len());
+        kept.extend(notices.iter().take(room).cloned());
+    }
+
+    fn lock_early(&self) -> MutexGuard<'_, HashMap<SmolStr, Vec<quarantine::Notice>>> {
+        let early = self.early_crashes.lock();
+        early.unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Updates all pools to the servers of a configuration, and returns the servers that were
     /// added. Pools that it doesn't name lose their servers.
     pub fn update_servers(&self, metrics: &Arc<Metrics>, catalogue: &Catalogue) -> Vec<NewServer> {
@@ -216,7 +286,11 @@
         let pool = pools.entry(name.clone()).or_insert_with(|| {
             let seed = rendezvous::weight(rendezvous::hash(name.as_bytes()), &self.instance);
             let metrics = Arc::clone(metrics);
-            Pool::with_preemption(name.clone(), self.limits, metrics, seed, preemption)
+            let pool = Pool::with_preemption(name.clone(), self.limits, metrics, seed, preemption);
+            if let Some(early) = self.lock_early().remove(name) {
+                pool.merge_crashes(&early);
+            }
+            pool
         });
         Arc::clone(pool)
     }
@@ -236,7 +310,7 @@
         servers
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SmolStr, Arc<Pool>>> {
+    fn lock(&self) -> MutexGuard<'_, HashMap<SmolStr, Arc<Pool>>> {
         self.by_name.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/router/src/load/queue.rs
+++ b/crates/router/src/load/queue.rs
@@ -125,6 +125,11 @@
         self.bytes
     }
 
+    /// The values of all waiting requests, in no particular order.
+    pub fn items(&self) -> impl Iterator<Item = (EntryId, &T)> {
+        self.entries.iter().map(|(id, entry)| (id, &entry.item))
+    }
+
     /// Number of waiting requests of a class, in all tiers and of all organisations.
     #[must_use]
     pub fn class_len(&self, class: &str) -> usize {
--- a/crates/router/src/reports.rs
+++ b/crates/router/src/reports.rs
@@ -47,6 +47,10 @@
         if !limits.is_empty() {
             node.links.broadcast(&Frame::RateLimits(limits), None);
         }
+        let crashes = node.pools.take_crash_notices();
+        if !crashes.is_empty() {
+            node.links.broadcast(&Frame::Crashes(crashes), None);
+        }
         node.stream_origins.flush(&node.links);
         let floors = node.pools.requested_floors();
         if floors != sent_floors && sent_at.elapsed() >= MIN_BROADCAST_INTERVAL {
--- a/crates/router/tests/pool.rs
+++ b/crates/router/tests/pool.rs
@@ -52,6 +52,7 @@
             cost: 1,
             partial: false,
         },
+        identity: Arc::default(),
         prefix_hash: 0,
         first_token_target: Some(Duration::from_millis(400)),
         gap_target: None,
--- a/crates/router/tests/versions.rs
+++ b/crates/router/tests/versions.rs
@@ -49,6 +49,7 @@
             cost: 1,
             partial: false,
         },
+        identity: Arc::default(),
         prefix_hash: 0,
         first_token_target: None,
         gap_target: None,
--- a/crates/standins/src/crash_check.rs
+++ b/crates/standins/src/crash_check.rs
@@ -56,7 +56,8 @@
     /// many began at the first attempt, and how many there were.
     #[must_use]
     pub fn sound_after(&self, reaction: Duration) -> (usize, usize) {
-        let last = self.crashes.iter().take(KNOWN_CRASHES).last();
+        let known = self.crashes.len().min(KNOWN_CRASHES);
+        let last = self.crashes[..known].last();
         let since = last.map(|at| *at + reaction * 2);
         let counted = self
             .sound
--- a/crates/standins/tests/rate_limits.rs
+++ b/crates/standins/tests/rate_limits.rs
@@ -115,6 +115,7 @@
             cost: 1,
             partial: false,
         },
+        identity: Arc::default(),
         prefix_hash,
         first_token_target: Some(MAX_WAIT),
         gap_target: None,
