--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod caller;
 pub mod config_checks;
 pub mod crash_check;
+pub mod cut_check;
 pub mod deployment;
 pub mod execution_log;
 pub mod faults;
