Pass requests on to another instance while this one is cut off from all servers

Cause: an instance knew only single servers as down, never that it was itself cut off; it stayed advertised, and had no other way to the servers than its own. Class of fault: a failure of one's own link taken for failures of all the others. Looked for elsewhere: crash reports of such an instance (kept back until it has reached a server and checked again), its breakers (closed when the cut ends).

Ruled out: overload of the other instances and slow servers; the failures are at the cut instances alone, and the others' answers begin in time.

Probes find out that no server can be reached; requests then go to peers on their address for callers, one hop only, with the attempts made; other instances are told and don't advertise it.

--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -81,6 +81,11 @@
         fields: &["id", "server", "begun", "segments"],
         meaning: "the connection of a request to its backend server was lost; `begun` tells whether the response had gone past its beginning, `segments` names the prompt segments that others have too",
     },
+    EventSpec {
+        name: "instance.isolation",
+        fields: &["peer", "state", "number", "source"],
+        meaning: "the instance `peer` is cut off from all backend servers (`begun`), or reaches one again (`ended`); `number` counts its changes; the source is `own` or `peer`",
+    },
     EventSpec {
         name: "request.refused",
         fields: &["id", "host", "path", "cause", "config"],
@@ -122,6 +127,7 @@
             "retry_after_ms",
             "attempts",
             "limits",
+            "forwarded_by",
             "version",
             "first_ms",
             "events",
@@ -129,7 +135,7 @@
             "after",
             "rate",
         ],
-        meaning: "a request ended; the outcome is `answered`, `refused`, `cut` or `caller_gone`; `attempts` lists the server and result of each attempt, `events` the number of streamed events and the time since the last, `first_ms` the time to the first, `pause_ms` the longest pause between two, `limits` the rate limit of each server that has one, with this instance's share and the time since it was heard of, `version` the software version that the stream is bound to; a line with `rate=N` represents N such lines",
+        meaning: "a request ended; the outcome is `answered`, `refused`, `cut` or `caller_gone`; `attempts` lists the server and result of each attempt, `events` the number of streamed events and the time since the last, `first_ms` the time to the first, `pause_ms` the longest pause between two, `limits` the rate limit of each server that has one, with this instance's share and the time since it was heard of, `forwarded_by` the instance that passed the request on because it is cut off from all servers (there, `attempts` names this one as `peer:NAME`), `version` the software version that the stream is bound to; a line with `rate=N` represents N such lines",
     },
 ];
 
--- a/crates/router/src/fleet/frame.rs
+++ b/crates/router/src/fleet/frame.rs
@@ -12,6 +12,7 @@
 
 use crate::config::object::{Change, ChangeNumber, Level, Object};
 use crate::fleet::claims::{Operation, Outcome};
+use crate::fleet::isolated_instances::IsolationRecord;
 use crate::fleet::membership::InstanceRecord;
 use crate::fleet::origin::{OriginGroup, OriginQuery, OriginReply};
 pub use crate::load::admission_floors::FloorKind;
@@ -115,6 +116,8 @@
     FoundOrigins(Vec<OriginReply>),
     /// What is known of crashes of backend servers, and of the prompt segments that cause them.
     Crashes(Vec<PoolCrashes>),
+    /// Which instances are cut off from all backend servers.
+    Isolation(Vec<IsolationRecord>),
 }
 
 impl Frame {
@@ -126,7 +129,7 @@
             | Self::StreamOrigins(_)
             | Self::FindOrigins(_)
             | Self::FoundOrigins(_) => 2,
-            Self::Crashes(_) => 3,
+            Self::Crashes(_) | Self::Isolation(_) => 3,
             _ => 1,
         }
     }
--- a/crates/router/src/fleet/link.rs
+++ b/crates/router/src/fleet/link.rs
@@ -299,6 +299,10 @@
         if !crashes.is_empty() {
             self.send(&Frame::Crashes(crashes)).await?;
         }
+        let isolated = self.node.isolated.all();
+        if !isolated.is_empty() {
+            self.send(&Frame::Isolation(isolated)).await?;
+        }
         loop {
             tokio::select! {
                 message = self.socket.next() => {
@@ -431,6 +435,13 @@
                 node.mark_server_leaving(&server, at_ms, Some(&self.peer.id));
             }
             Frame::RateLimits(limits) => node.pools.merge_limits(&limits),
+            Frame::Isolation(records) => {
+                let news = node.isolated.merge(&records);
+                if !news.is_empty() {
+                    let frame = Frame::Isolation(news);
+                    node.links.broadcast(&frame, Some(&self.peer.id));
+                }
+            }
             Frame::Crashes(crashes) => node.pools.merge_crashes(&crashes),
             Frame::StreamOrigins(groups) => node.stream_origins.keep(&groups),
             Frame::FindOrigins(queries) => {
--- a/crates/router/src/fleet/mod.rs
+++ b/crates/router/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 pub mod advertisement;
 pub mod claims;
 pub mod frame;
+pub mod isolated_instances;
 pub mod leaving_servers;
 pub mod link;
 pub mod links;
--- a/crates/router/src/forward/access_log.rs
+++ b/crates/router/src/forward/access_log.rs
@@ -7,7 +7,7 @@
 
 use http::StatusCode;
 use log::Level;
-use smol_str::SmolStr;
+use smol_str::{SmolStr, format_smolstr};
 use tokio::time::Instant;
 
 use super::attempt::Failure;
@@ -47,6 +47,7 @@
 /// One attempt, for the `attempts` field of the log line.
 #[derive(Clone, Debug)]
 struct Attempt {
+    /// The server, or the instance as `peer:NAME`.
     server: SmolStr,
     /// Time from the receipt of the request to the start of the attempt.
     started: Duration,
@@ -108,6 +109,16 @@
         });
     }
 
+    /// Records that the request is passed on to another instance.
+    pub fn start_forwarding(&mut self, peer: &str) {
+        self.attempts.push(Attempt {
+            server: format_smolstr!("peer:{peer}"),
+            started: self.request.received.elapsed(),
+            failure: None,
+            usage: None,
+        });
+    }
+
     /// Records a batch of events that is being forwarded to the caller; a batch counts as one event.
     pub fn record_events(&mut self) {
         let now = Instant::now();
@@ -224,6 +235,10 @@
             .optional_field("retry_after_ms", retry)
             .field("attempts", self.attempts())
             .optional_field("limits", self.limits())
+            .optional_field(
+                "forwarded_by",
+                request.forwarded_by.as_ref().map(|f| &f.instance),
+            )
             .optional_field("version", self.version.as_ref())
             .optional_field("first_ms", self.first_event.map(|d| d.as_millis()))
             .optional_field("events", events)
--- a/crates/router/src/forward/attempt.rs
+++ b/crates/router/src/forward/attempt.rs
@@ -11,7 +11,7 @@
 use crate::load::pool::Permit;
 
 /// Part of the caller's remaining time that is kept for passing the response back to it.
-const RETURN_MARGIN: Duration = Duration::from_millis(5);
+pub(super) const RETURN_MARGIN: Duration = Duration::from_millis(5);
 
 /// Why an attempt failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -22,6 +22,8 @@
     NotRun,
     /// The address belongs to another backend server; the request didn't run.
     WrongServer,
+    /// Another instance, to which the request was passed on, refuses it without having run it.
+    Refused,
     /// The request was sent and may have run, but no response was received.
     NoAnswer,
     /// The response isn't to this request, or not from a backend server.
@@ -44,6 +46,7 @@
             Self::NotSent => "not_sent",
             Self::NotRun => "not_run",
             Self::WrongServer => "wrong_server",
+            Self::Refused => "refused",
             Self::NoAnswer => "no_answer",
             Self::Foreign => "foreign",
             Self::Broken => "broken",
@@ -55,7 +58,10 @@
     /// Whether it is certain that the request didn't run in this attempt.
     #[must_use]
     pub const fn is_certainly_not_run(&self) -> bool {
-        matches!(self, Self::NotSent | Self::NotRun | Self::WrongServer)
+        matches!(
+            self,
+            Self::NotSent | Self::NotRun | Self::WrongServer | Self::Refused
+        )
     }
 }
 
--- a/crates/router/src/forward/backend_protocol.rs
+++ b/crates/router/src/forward/backend_protocol.rs
@@ -5,7 +5,7 @@
 use http::HeaderMap;
 use http::response;
 
-use super::request::{EventId, Request};
+use super::request::{EventId, ForwardedBy, Request};
 use crate::config::object::{BackendServer, Level};
 use crate::load::rate_limit::Rate;
 use crate::load::server::LoadReport;
@@ -23,6 +23,17 @@
     pub resume_after: Option<EventId>,
 }
 
+/// What is sent in addition to the caller's request with one that is passed on to another instance.
+#[derive(Clone, Debug)]
+pub struct ForwardMetadata {
+    /// The instance that passes it on.
+    pub forwarded_by: ForwardedBy,
+    /// Time left for the response; `None` if the caller gave no deadline.
+    pub left: Option<Duration>,
+    /// The last event that the caller already has, if the request resumes a stream.
+    pub resume_after: Option<EventId>,
+}
+
 /// What the head of a response means for the request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ResponseClass {
@@ -55,6 +66,13 @@
     /// Interprets the head of a response to `request`.
     fn classify(&self, request: &Request, head: &response::Parts) -> ResponseClass;
 
+    /// Returns the header fields of a request that is passed on to another instance.
+    fn forward_headers(&self, request: &Request, metadata: &ForwardMetadata) -> HeaderMap;
+
+    /// Interprets the head of another instance's response to `request`: `Answered` also for an error of that
+    /// instance that is to be passed on, `NotRun` if it refuses the request.
+    fn classify_forwarded(&self, request: &Request, head: &response::Parts) -> ResponseClass;
+
     /// Returns the load report in the header fields of a response; `None` if there is none.
     fn load_report(&self, headers: &HeaderMap) -> Option<LoadReport>;
 
--- a/crates/router/src/forward/connection_pool.rs
+++ b/crates/router/src/forward/connection_pool.rs
@@ -18,10 +18,13 @@
 use tokio::task::AbortHandle;
 use tokio::time::{self, Instant};
 
+use crate::load::isolation::Signs;
 use crate::socket;
 
 /// Time limit for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time limit for opening a connection only to see whether that is possible.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 /// Idle timeout assumed for a server that doesn't announce one in a `Keep-Alive` field.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_millis(800);
 /// Fraction of the server's idle timeout within which a connection is reused.
@@ -72,8 +75,42 @@
 #[derive(Clone, Debug, Default)]
 pub struct ConnectionPool {
     idle: Arc<Mutex<HashMap<SocketAddr, Vec<Idle>>>>,
+    activity: Arc<Mutex<Activity>>,
+}
+
+/// What the connections have shown so far.
+#[derive(Debug, Default)]
+struct Activity {
     /// When bytes of any server were last received.
-    last_contact: Arc<Mutex<Option<Instant>>>,
+    contact: Option<Instant>,
+    connected: Option<Instant>,
+    failed: Option<Instant>,
+    /// Number of responses that are awaited, or being received.
+    awaited: usize,
+    /// When `awaited` was last 0.
+    awaited_since: Option<Instant>,
+}
+
+/// Counts an awaited response until it is dropped.
+#[derive(Debug)]
+struct Awaited(ConnectionPool);
+
+impl Awaited {
+    fn new(pool: &ConnectionPool) -> Self {
+        let mut activity = pool.activity();
+        if activity.awaited == 0 {
+            activity.awaited_since = Some(Instant::now());
+        }
+        activity.awaited += 1;
+        drop(activity);
+        Self(pool.clone())
+    }
+}
+
+impl Drop for Awaited {
+    fn drop(&mut self) {
+        self.0.activity().awaited -= 1;
+    }
 }
 
 /// Result of an attempt to open a connection.
@@ -95,7 +132,7 @@
     pub head: response::Parts,
     body: Incoming,
     connection: Connection,
-    pool: ConnectionPool,
+    awaited: Awaited,
 }
 
 impl ConnectionPool {
@@ -111,30 +148,41 @@
         non_retryable: bool,
     ) -> Result<BackendResponse, Error> {
         let mut request = request;
+        let awaited = Awaited::new(self);
         loop {
             let (mut connection, reused) = match self.take_idle(address, non_retryable) {
                 Some(connection) => (connection, true),
-                None => (connect(address).await?, false),
+                None => (self.connect(address).await?, false),
             };
             match connection.sender.try_send_request(request).await {
                 Ok(response) => {
                     self.record_contact();
-                    return Ok(self.wrap(connection, response));
+                    return Ok(wrap(connection, response, awaited));
                 }
                 Err(mut error) => match error.take_message() {
                     // The server closed the idle connection before any byte was sent on it.
                     Some(unsent) if reused => request = unsent,
-                    Some(_) => return Err(Error::NotSent(error.into_error().to_string())),
-                    None => return Err(Error::NoAnswer(error.into_error().to_string())),
+                    Some(_) => {
+                        self.record_failure();
+                        return Err(Error::NotSent(error.into_error().to_string()));
+                    }
+                    None => {
+                        self.record_failure();
+                        return Err(Error::NoAnswer(error.into_error().to_string()));
+                    }
                 },
             }
         }
     }
 
-    /// Opens a connection and closes it again.
+    /// Opens a connection, and keeps it for a request.
     pub async fn probe(&self, address: SocketAddr) -> Reachability {
-        match time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
-            Ok(Ok(_)) => Reachability::Connected,
+        match time::timeout(PROBE_TIMEOUT, open(address)).await {
+            Ok(Ok(connection)) => {
+                self.activity().connected = Some(Instant::now());
+                self.put_idle(connection);
+                Reachability::Connected
+            }
             Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
                 Reachability::Refused
             }
@@ -145,28 +193,47 @@
     /// When bytes of any server were last received; `None` before the first.
     #[must_use]
     pub fn last_contact(&self) -> Option<Instant> {
-        *self.lock_contact()
+        self.activity().contact
+    }
+
+    /// What the connections show of the links to all servers.
+    #[must_use]
+    pub fn signs(&self) -> Signs {
+        let activity = self.activity();
+        let awaited = activity.awaited > 0;
+        Signs {
+            connected: activity.connected,
+            failed: activity.failed,
+            silent_since: activity
+                .awaited_since
+                .filter(|_| awaited)
+                .max(activity.contact.filter(|_| awaited)),
+        }
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Result<Connection, Error> {
+        let reason = match time::timeout(CONNECT_TIMEOUT, open(address)).await {
+            Ok(Ok(connection)) => {
+                self.activity().connected = Some(Instant::now());
+                return Ok(connection);
+            }
+            Ok(Err(error)) => error.to_string(),
+            Err(_) => "timed out while connecting".into(),
+        };
+        self.record_failure();
+        Err(Error::NotSent(reason))
     }
 
     fn record_contact(&self) {
-        *self.lock_contact() = Some(Instant::now());
+        self.activity().contact = Some(Instant::now());
     }
 
-    fn lock_contact(&self) -> MutexGuard<'_, Option<Instant>> {
-        self.last_contact
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+    fn record_failure(&self) {
+        self.activity().failed = Some(Instant::now());
     }
 
-    fn wrap(&self, mut connection: Connection, response: Response<Incoming>) -> BackendResponse {
-        let (head, body) = response.into_parts();
-        connection.idle_timeout = idle_timeout(&head.headers);
-        BackendResponse {
-            head,
-            body,
-            connection,
-            pool: self.clone(),
-        }
+    fn activity(&self) -> MutexGuard<'_, Activity> {
+        self.activity.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Takes the most recently used idle connection to `address` that may still be reused.
@@ -227,17 +294,27 @@
     seconds.map_or(DEFAULT_IDLE_TIMEOUT, Duration::from_secs)
 }
 
-async fn connect(address: SocketAddr) -> Result<Connection, Error> {
-    let not_sent = |reason: String| Error::NotSent(reason);
-    let stream = match time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
-        Ok(Ok(stream)) => stream,
-        Ok(Err(error)) => return Err(not_sent(error.to_string())),
-        Err(_) => return Err(not_sent("timed out while connecting".into())),
-    };
-    socket::configure(&stream, USER_TIMEOUT).map_err(|e| not_sent(e.to_string()))?;
+fn wrap(
+    mut connection: Connection,
+    response: Response<Incoming>,
+    awaited: Awaited,
+) -> BackendResponse {
+    let (head, body) = response.into_parts();
+    connection.idle_timeout = idle_timeout(&head.headers);
+    BackendResponse {
+        head,
+        body,
+        connection,
+        awaited,
+    }
+}
+
+async fn open(address: SocketAddr) -> io::Result<Connection> {
+    let stream = TcpStream::connect(address).await?;
+    socket::configure(&stream, USER_TIMEOUT)?;
     let (sender, connection) = http1::handshake(TokioIo::new(stream))
         .await
-        .map_err(|e| not_sent(e.to_string()))?;
+        .map_err(io::Error::other)?;
     let task = tokio::spawn(async move {
         if let Err(error) = connection.await {
             log::debug!("server={address} connection=ended reason={error}");
@@ -262,11 +339,14 @@
                 None => return Ok(None),
                 Some(Ok(frame)) => {
                     if let Ok(bytes) = frame.into_data() {
-                        self.pool.record_contact();
+                        self.awaited.0.record_contact();
                         return Ok(Some(bytes));
                     }
                 }
-                Some(Err(error)) => return Err(Error::NoAnswer(error.to_string())),
+                Some(Err(error)) => {
+                    self.awaited.0.record_failure();
+                    return Err(Error::NoAnswer(error.to_string()));
+                }
             }
         }
     }
@@ -290,7 +370,7 @@
     /// Returns the connection to the pool. Call this only after the body was received to its end.
     pub fn release(self) {
         if !self.connection.sender.is_closed() && !self.connection.task.0.is_finished() {
-            self.pool.put_idle(self.connection);
+            self.awaited.0.put_idle(self.connection);
         }
     }
 }
--- a/crates/router/src/forward/crash.rs
+++ b/crates/router/src/forward/crash.rs
@@ -49,14 +49,18 @@
     at: Instant,
 ) -> bool {
     let any = others.iter().chain([&server]).cycle();
-    for address in any.take(MAX_CONTACT_ATTEMPTS) {
+    let in_contact = || {
         let contact = connections.last_contact();
-        if contact.is_some_and(|contact| contact >= at + CONTACT_MARGIN) {
-            return true;
-        }
+        contact.is_some_and(|contact| contact >= at + CONTACT_MARGIN)
+    };
+    if in_contact() {
+        return true;
+    }
+    for address in any.take(MAX_CONTACT_ATTEMPTS) {
         time::sleep(CONTACT_INTERVAL).await;
-        if connections.probe(*address).await == Reachability::Connected {
-            return true;
+        if in_contact() || connections.probe(*address).await == Reachability::Connected {
+            // The server may have refused because of a cut that is over.
+            return refuses(connections, server).await;
         }
     }
     false
--- a/crates/router/src/forward/forwarder.rs
+++ b/crates/router/src/forward/forwarder.rs
@@ -14,9 +14,11 @@
 use super::connection_pool::ConnectionPool;
 use super::crash;
 use super::origin::Binding;
-use super::request::{EventId, Request};
+use super::peer;
+use super::request::{EventId, ForwardedBy, Request};
 use super::route::ServiceName;
 use crate::error::{Fault, Kind, Ran};
+use crate::fleet::membership::{InstanceId, InstanceRecord};
 use crate::http1::{Disconnected, ResponseWriter};
 use crate::load::budget::{self, BudgetLimits, RetryBudget};
 use crate::load::pool::{AdmissionRequest, Permit, Pool};
@@ -49,6 +51,8 @@
     pub node: Arc<Node>,
     /// Connections to backend servers.
     pub connections: ConnectionPool,
+    /// Connections to other instances, for requests that are passed on to them.
+    pub peers: ConnectionPool,
     /// The protocol of the backend servers.
     pub protocol: P,
     /// Limits of the retry budgets, which are kept for each service.
@@ -63,6 +67,7 @@
         Self {
             node,
             connections: ConnectionPool::default(),
+            peers: ConnectionPool::default(),
             protocol,
             limits,
             budgets: Mutex::default(),
@@ -87,6 +92,13 @@
     }
 }
 
+/// Where an attempt goes.
+enum Target {
+    Server(Permit),
+    /// An instance that passes it to a server.
+    Peer(InstanceRecord),
+}
+
 /// Result of one attempt.
 enum AttemptResult {
     /// The complete response, with this status, was sent to the caller.
@@ -110,6 +122,8 @@
     resume_after: Option<EventId>,
     /// Which servers may continue the stream.
     binding: Binding,
+    /// The instances that the request was passed on to.
+    tried_peers: Vec<InstanceId>,
     /// A server error that is sent to the caller if no retry gets a better response.
     fallback: Option<BufferedResponse>,
     log: AccessLog<'a>,
@@ -137,7 +151,8 @@
             request,
             response,
             may_have_run: false,
-            attempts: 0,
+            attempts: request.forwarded_by.as_ref().map_or(0, |f| f.attempts),
+            tried_peers: Vec::new(),
             fallback: None,
             log,
         }
@@ -152,10 +167,12 @@
     }
 
     async fn forward(&mut self) -> Outcome {
-        let now = Instant::now();
-        self.context.with_budget(self.service, |b| {
-            b.record_request(&self.context.limits, now);
-        });
+        if self.request.forwarded_by.is_none() {
+            let now = Instant::now();
+            self.context.with_budget(self.service, |b| {
+                b.record_request(&self.context.limits, now);
+            });
+        }
         let expires_at = self.request.expires_at();
         let error = match time::timeout_at(expires_at, self.run_attempts()).await {
             Ok(Ok(status)) => return Outcome::Answered(status),
@@ -205,19 +222,15 @@
     async fn run_attempts(&mut self) -> Result<StatusCode, ForwardError> {
         let mut unsent = 0;
         loop {
-            let permit = self.acquire_permit().await?;
-            self.log.start_attempt(&permit);
-            let result = self.run_attempt(&permit).await?;
+            let result = match self.next_target().await? {
+                Target::Server(permit) => self.run_at_server(permit).await?,
+                Target::Peer(peer) => self.run_at_peer(&peer).await?,
+            };
             let failure = match result {
                 AttemptResult::Done(status) => return Ok(status),
                 AttemptResult::Failed(failure) => failure,
             };
-            if matches!(failure, Failure::NoAnswer | Failure::Broken) {
-                self.record_loss(&permit);
-            }
-            self.admission.avoid.push(permit.server);
-            drop(permit);
-            if failure == Failure::NotSent {
+            if matches!(failure, Failure::NotSent | Failure::Refused) {
                 unsent += 1;
             } else {
                 self.attempts += 1;
@@ -230,6 +243,119 @@
         }
     }
 
+    /// Where the next attempt goes: to a backend server, or to another instance if this one is cut off from all
+    /// servers.
+    async fn next_target(&mut self) -> Result<Target, ForwardError> {
+        if let Some(peer) = self.next_peer() {
+            return Ok(Target::Peer(peer));
+        }
+        let peer = self.wait_for_peer();
+        let admission = self.admission()?;
+        let (pool, prompt) = (Arc::clone(&self.pool), self.prompt());
+        let since = Instant::now();
+        let target = tokio::select! {
+            permit = pool.acquire_for_prompt(admission, prompt) => permit.map(Target::Server),
+            peer = peer => Ok(Target::Peer(peer)),
+        };
+        self.log.add_wait(since);
+        target.map_err(ForwardError::Fault)
+    }
+
+    /// The instance that the request is passed on to; `None` if this instance reaches the servers itself, or no other
+    /// one can help.
+    fn next_peer(&self) -> Option<InstanceRecord> {
+        let node = &self.context.node;
+        if self.request.forwarded_by.is_some() || !node.isolated.is_own() {
+            return None;
+        }
+        let candidates = peer::candidates(node, self.request);
+        let mut untried = candidates.into_iter();
+        untried.find(|p| !self.tried_peers.contains(&p.id))
+    }
+
+    /// Completes when there is such an instance.
+    async fn wait_for_peer(&self) -> InstanceRecord {
+        if self.request.forwarded_by.is_some() {
+            return std::future::pending().await;
+        }
+        loop {
+            self.context.node.isolated.wait_own().await;
+            if let Some(peer) = self.next_peer() {
+                return peer;
+            }
+            time::sleep(RECHECK_INTERVAL).await;
+        }
+    }
+
+    /// Completes when a request that is open at a server should be abandoned for an attempt at another instance: this
+    /// one is cut off, also from that server, and the retry budget was charged.
+    async fn wait_cut(&self, permit: &Permit) {
+        if !self.may_move(permit) {
+            return std::future::pending().await;
+        }
+        loop {
+            self.wait_for_peer().await;
+            let silent = self.context.connections.signs().is_silent(Instant::now());
+            if silent && self.spend_retry() {
+                return;
+            }
+            time::sleep(RECHECK_INTERVAL).await;
+        }
+    }
+
+    async fn run_at_server(&mut self, permit: Permit) -> Result<AttemptResult, ForwardError> {
+        self.log.start_attempt(&permit);
+        let result = self.run_attempt(&permit).await?;
+        if let AttemptResult::Failed(failure) = &result {
+            if matches!(failure, Failure::NoAnswer | Failure::Broken) {
+                self.record_loss(&permit);
+            }
+            self.admission.avoid.push(permit.server);
+        }
+        Ok(result)
+    }
+
+    /// Passes the request on to another instance. One that can't be reached or refuses is followed by the next.
+    async fn run_at_peer(&mut self, peer: &InstanceRecord) -> Result<AttemptResult, ForwardError> {
+        let context = self.context;
+        self.tried_peers.push(peer.id.clone());
+        self.log.start_forwarding(&peer.id);
+        context.node.metrics.count("peer.sent");
+        let forwarded_by = ForwardedBy {
+            instance: context.node.settings.instance.clone(),
+            attempts: self.attempts,
+        };
+        let ran_before = std::mem::replace(&mut self.may_have_run, true);
+        let response = peer::send(
+            &context.peers,
+            &context.protocol,
+            self.request,
+            peer,
+            forwarded_by,
+            self.resume_after,
+        );
+        match response.await {
+            Ok(response)
+                if self.request.route.kind.is_stream() && response.head.status.is_success() =>
+            {
+                self.forward_stream(None, response).await
+            }
+            Ok(response) => self.forward_buffered(None, response).await,
+            Err(error) => {
+                if error.failure.is_certainly_not_run() {
+                    self.may_have_run = ran_before;
+                }
+                context.node.metrics.count("peer.failed");
+                match error.refusal {
+                    Some(refusal) if !refusal.elsewhere || self.next_peer().is_none() => {
+                        Err(ForwardError::Fault(refusal.fault()))
+                    }
+                    _ => Ok(AttemptResult::Failed(error.failure)),
+                }
+            }
+        }
+    }
+
     /// Records that the connection of the attempt was lost, and starts a check whether its server crashed.
     fn record_loss(&self, permit: &Permit) {
         let server = &permit.declared.name;
@@ -243,19 +369,20 @@
         }
     }
 
-    async fn acquire_permit(&mut self) -> Result<Permit, ForwardError> {
+    /// What the pool is told of the next attempt.
+    fn admission(&self) -> Result<AdmissionRequest, ForwardError> {
         let mut admission = self.admission.clone();
         admission.version = self.binding.version().map_err(ForwardError::Fault)?;
         admission.attributes.partial = !self.response.is_unsent();
+        Ok(admission)
+    }
+
+    fn prompt(&self) -> Prompt {
         let shared = self.request.shared_tokens();
-        let prompt = Prompt {
+        Prompt {
             shared,
             unique: self.request.prompt.tokens.saturating_sub(shared),
-        };
-        let since = Instant::now();
-        let permit = self.pool.acquire_for_prompt(admission, prompt).await;
-        self.log.add_wait(since);
-        permit.map_err(ForwardError::Fault)
+        }
     }
 
     /// Whether the request may be retried after `failure`; charges the retry budget where that is due.
@@ -264,7 +391,8 @@
             self.context.node.metrics.count("stream.no_version");
             return false;
         }
-        if failure == Failure::NotSent && self.attempts == 0 {
+        let unsent = matches!(failure, Failure::NotSent | Failure::Refused);
+        if unsent && self.attempts == 0 {
             return true;
         }
         if failure == Failure::Stalled {
@@ -296,9 +424,20 @@
         }
     }
 
-    /// Completes when a stream should be abandoned in favour of a retry: it has paused for too long, and the
-    /// retry budget was charged. Before the first event, this is as in `wait_overtaken`.
-    async fn wait_stalled(&self, permit: &Permit, started: bool) {
+    /// Completes when a stream should be abandoned in favour of a retry: it has paused for too long, or this
+    /// instance is cut off, and the retry budget was charged. Before the first event, the pause is judged as in
+    /// `wait_overtaken`. Never completes for a stream of another instance, which watches it.
+    async fn wait_stalled(&self, permit: Option<&Permit>, started: bool) {
+        let Some(permit) = permit else {
+            return std::future::pending().await;
+        };
+        tokio::select! {
+            () = self.wait_paused(permit, started) => {}
+            () = self.wait_cut(permit) => {}
+        }
+    }
+
+    async fn wait_paused(&self, permit: &Permit, started: bool) {
         if !started {
             return self.wait_overtaken(permit).await;
         }
@@ -345,6 +484,7 @@
         let response = tokio::select! {
             response = sent => response,
             () = self.wait_overtaken(permit) => Err(Failure::Stalled),
+            () = self.wait_cut(permit) => Err(Failure::Stalled),
         };
         if matches!(&response, Err(failure) if failure.is_certainly_not_run()) {
             self.may_have_run = ran_before;
@@ -353,9 +493,9 @@
             Ok(response)
                 if self.request.route.kind.is_stream() && response.head.status.is_success() =>
             {
-                self.forward_stream(permit, response).await
+                self.forward_stream(Some(permit), response).await
             }
-            Ok(response) => self.forward_buffered(permit, response).await,
+            Ok(response) => self.forward_buffered(Some(permit), response).await,
             Err(failure) => Ok(AttemptResult::Failed(failure)),
         }
     }
--- a/crates/router/src/forward/forwarder/responses.rs
+++ b/crates/router/src/forward/forwarder/responses.rs
@@ -31,7 +31,7 @@
     /// the caller.
     pub(super) async fn forward_buffered(
         &mut self,
-        permit: &Permit,
+        permit: Option<&Permit>,
         mut response: BackendResponse,
     ) -> Result<AttemptResult, ForwardError> {
         let status = response.head.status;
@@ -49,20 +49,25 @@
                 return self.forward_chunked(permit, response, &body).await;
             }
         }
-        permit.mark_started();
+        if let Some(permit) = permit {
+            permit.mark_started();
+        }
         let buffered = BufferedResponse {
             status,
             headers: std::mem::take(&mut response.head.headers),
             body: body.freeze(),
         };
         response.release();
-        permit.record_completion(1);
-        if status.is_success() {
-            permit.record_sound();
+        if let Some(permit) = permit {
+            permit.record_completion(1);
+            if status.is_success() {
+                permit.record_sound();
+            }
         }
         let retryable =
             status.is_server_error() && self.request.route.kind == RouteKind::Idempotent;
-        if retryable && self.attempts + 1 < self.request.route.max_attempts {
+        // Another instance has retried it.
+        if permit.is_some() && retryable && self.attempts + 1 < self.request.route.max_attempts {
             self.fallback = Some(buffered);
             return Ok(AttemptResult::Failed(Failure::Failed));
         }
@@ -83,12 +88,14 @@
     /// here on the request can't be retried.
     async fn forward_chunked(
         &mut self,
-        permit: &Permit,
+        permit: Option<&Permit>,
         mut response: BackendResponse,
         received: &[u8],
     ) -> Result<AttemptResult, ForwardError> {
         let status = response.head.status;
-        permit.mark_started();
+        if let Some(permit) = permit {
+            permit.mark_started();
+        }
         self.response
             .start_chunked(status, &response.head.headers, received)
             .await?;
@@ -100,7 +107,9 @@
             }
         }
         response.release();
-        permit.record_completion(1);
+        if let Some(permit) = permit {
+            permit.record_completion(1);
+        }
         self.response.finish().await?;
         Ok(AttemptResult::Done(status))
     }
@@ -109,7 +118,7 @@
     /// continue the stream after the last one.
     pub(super) async fn forward_stream(
         &mut self,
-        permit: &Permit,
+        permit: Option<&Permit>,
         mut response: BackendResponse,
     ) -> Result<AttemptResult, ForwardError> {
         let status = response.head.status;
@@ -133,23 +142,24 @@
                 continue;
             };
             let now = Instant::now();
-            match last_event {
-                None => permit.mark_started(),
-                Some(at) => permit.record_pause(now.saturating_duration_since(at)),
+            batches += 1;
+            if let Some(permit) = permit {
+                let pause = last_event.map(|at| now.saturating_duration_since(at));
+                permit.record_batch(pause, batches >= BEGUN_BATCHES);
+                self.bind(permit);
+            } else if self.binding == Binding::Any {
+                // The peer knows the version that began the stream.
+                self.binding = Binding::Unknown;
             }
             last_event = Some(now);
-            batches += 1;
-            self.bind(permit);
             self.log.record_events();
-            permit.record_response();
-            if batches == BEGUN_BATCHES {
-                permit.record_sound();
-            }
             self.send_events(&response, status, &batch.bytes).await?;
             self.resume_after = batch.last.or(self.resume_after);
         }
-        permit.record_completion(batches);
-        permit.record_sound();
+        if let Some(permit) = permit {
+            permit.record_completion(batches);
+            permit.record_sound();
+        }
         if self.response.is_unsent() {
             self.response
                 .start_chunked(status, &response.head.headers, &[])
--- a/crates/router/src/forward/mod.rs
+++ b/crates/router/src/forward/mod.rs
@@ -12,6 +12,8 @@
 pub mod connection_pool;
 pub mod crash;
 pub mod forwarder;
+pub mod isolation;
 pub mod origin;
+pub mod peer;
 pub mod request;
 pub mod route;
--- /dev/null
+++ b/crates/router/src/forward/peer.rs
@@ -0,0 +1,141 @@
+//! Passes requests on to other instances while this one is cut off from all backend servers.
+//!
+//! A peer gets the request on its address for callers, as the caller sent it, and treats it as its own: it
+//! authenticates, queues, limits and retries it. It never passes it on again.
+
+use std::time::Duration;
+
+use http::StatusCode;
+use http::header::RETRY_AFTER;
+use http_body_util::Full;
+use tokio::time::Instant;
+
+use super::attempt::{Failure, RETURN_MARGIN};
+use super::backend_protocol::{BackendProtocol, ForwardMetadata, ResponseClass};
+use super::connection_pool::{self, BackendResponse, ConnectionPool};
+use super::request::{EventId, ForwardedBy, Request};
+use crate::error::{Fault, Kind};
+use crate::fleet::membership::InstanceRecord;
+use crate::node::Node;
+use crate::rendezvous;
+
+/// Number of peers to which a request is passed on at most, one after the other.
+const MAX_PEERS: usize = 3;
+/// Retry delay advised if a peer that refuses a request gives none.
+const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(300);
+
+/// Why a peer did not respond with the answer of a backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PeerFailure {
+    /// The failure.
+    pub failure: Failure,
+    /// What the peer says, if it refused the request.
+    pub refusal: Option<Refusal>,
+}
+
+/// A peer's refusal of a request, which has not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// Whether another instance may take it, as the reason lies in this peer.
+    pub elsewhere: bool,
+    /// When the caller may retry.
+    pub retry_after: Duration,
+}
+
+impl Refusal {
+    /// The fault for the caller.
+    #[must_use]
+    pub fn fault(self) -> Fault {
+        let kind = if self.elsewhere {
+            Kind::NoBackendServer
+        } else {
+            Kind::Overloaded
+        };
+        let message =
+            "this instance reaches no backend server, and another one refuses the request";
+        Fault::new(kind, message).retry_after(self.retry_after)
+    }
+}
+
+impl From<Failure> for PeerFailure {
+    fn from(failure: Failure) -> Self {
+        Self {
+            failure,
+            refusal: None,
+        }
+    }
+}
+
+/// The peers that may take a request, in the order in which they are tried.
+#[must_use]
+pub fn candidates(node: &Node, request: &Request) -> Vec<InstanceRecord> {
+    let own = node.membership.own().id;
+    let mut peers = node.membership.alive();
+    peers.retain(|r| r.id != own && !node.isolated.contains(r));
+    select(peers, &request.id)
+}
+
+/// Selects from the peers that reach backend servers. Rendezvous hashing by the request's id spreads the requests of
+/// all isolated instances over all of them.
+#[must_use]
+pub fn select(mut peers: Vec<InstanceRecord>, request: &str) -> Vec<InstanceRecord> {
+    let key = rendezvous::hash(request.as_bytes());
+    peers.sort_by_key(|r| std::cmp::Reverse(rendezvous::weight(key, &r.id)));
+    peers.truncate(MAX_PEERS);
+    peers
+}
+
+/// Sends `request` to a peer and waits for the head of the response.
+///
+/// # Errors
+/// Returns why there is none from a backend server.
+pub async fn send<P: BackendProtocol>(
+    connections: &ConnectionPool,
+    protocol: &P,
+    request: &Request,
+    peer: &InstanceRecord,
+    forwarded_by: ForwardedBy,
+    resume_after: Option<EventId>,
+) -> Result<BackendResponse, PeerFailure> {
+    let left = request.deadline.map(|_| {
+        let left = request
+            .expires_at()
+            .saturating_duration_since(Instant::now());
+        left.saturating_sub(RETURN_MARGIN)
+    });
+    let metadata = ForwardMetadata {
+        forwarded_by,
+        left,
+        resume_after,
+    };
+    let mut outgoing = http::Request::new(Full::new(request.body.clone()));
+    *outgoing.method_mut() = request.method.clone();
+    *outgoing.uri_mut() = request.target.clone();
+    *outgoing.headers_mut() = protocol.forward_headers(request, &metadata);
+    let non_retryable = !request.route.kind.is_retryable();
+    let response = connections
+        .send(peer.callers, outgoing, non_retryable)
+        .await
+        .map_err(|error| match error {
+            connection_pool::Error::NotSent(_) => Failure::NotSent,
+            connection_pool::Error::NoAnswer(_) => Failure::NoAnswer,
+        })?;
+    match protocol.classify_forwarded(request, &response.head) {
+        ResponseClass::Answered => Ok(response),
+        ResponseClass::NotRun | ResponseClass::WrongServer => Err(PeerFailure {
+            failure: Failure::Refused,
+            refusal: Some(Refusal {
+                elsewhere: response.head.status == StatusCode::SERVICE_UNAVAILABLE,
+                retry_after: retry_after(&response).unwrap_or(DEFAULT_RETRY_AFTER),
+            }),
+        }),
+        ResponseClass::Foreign => Err(Failure::Foreign.into()),
+    }
+}
+
+/// The delay, in seconds with fractions, after which the peer advises to retry.
+fn retry_after(response: &BackendResponse) -> Option<Duration> {
+    let value = response.head.headers.get(RETRY_AFTER)?;
+    let seconds: f64 = value.to_str().ok()?.trim().parse().ok()?;
+    Duration::try_from_secs_f64(seconds).ok()
+}
--- a/crates/router/src/forward/request.rs
+++ b/crates/router/src/forward/request.rs
@@ -33,6 +33,15 @@
     pub tokens: u32,
 }
 
+/// Which instance passed a request on, and what it had done with it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ForwardedBy {
+    /// The instance's name.
+    pub instance: SmolStr,
+    /// Attempts that may have reached a backend server.
+    pub attempts: u32,
+}
+
 /// A request that was received, authenticated and matched to a route.
 #[derive(Clone, Debug)]
 pub struct Request {
@@ -42,6 +51,10 @@
     pub route: Arc<Route>,
     /// The caller's organisation; `None` if the route needs no key.
     pub organisation: Option<SmolStr>,
+    /// The API key that the caller sent.
+    pub api_key: Option<SmolStr>,
+    /// The instance that passed the request on to this one; `None` if it came from a caller.
+    pub forwarded_by: Option<ForwardedBy>,
     /// The priority level; 0 is the most important.
     pub level: Level,
     /// When the last byte of the request was received.
--- a/crates/router/src/load/mod.rs
+++ b/crates/router/src/load/mod.rs
@@ -6,6 +6,7 @@
 pub mod budget;
 pub mod demand;
 pub mod fleet_demand;
+pub mod isolation;
 pub mod partition;
 pub mod placement;
 pub mod pool;
--- a/crates/router/src/load/pool.rs
+++ b/crates/router/src/load/pool.rs
@@ -299,6 +299,16 @@
         }
     }
 
+    /// Closes all circuit breakers, after failures that this instance was the cause of.
+    pub fn forget_failures(self: &Arc<Self>) {
+        let mut state = self.lock();
+        for server in state.servers.values_mut() {
+            server.record_success();
+        }
+        drop(state);
+        self.dispatch_waiting();
+    }
+
     /// Records a peer's notice that the server of that name is leaving.
     pub fn mark_leaving(&self, server: &str) {
         let now = Instant::now();
--- a/crates/router/src/load/pool/crashes.rs
+++ b/crates/router/src/load/pool/crashes.rs
@@ -98,8 +98,10 @@
         self.log_crash_changes(&mut state, "own");
     }
 
-    /// Records that a server sent a part of a response.
-    pub(super) fn record_response(&self, grant: GrantId) {
+    /// Records that a server sent a part of a response. `sound` tells whether the response has gone past its
+    /// beginning.
+    pub(super) fn record_response(&self, grant: GrantId, sound: bool) {
+        let now = Instant::now();
         let mut state = self.lock();
         let State {
             grants,
@@ -107,9 +109,14 @@
             quarantine,
             ..
         } = &mut *state;
-        let server = grants.get(grant).and_then(|g| servers.get(g.server));
-        if let Some(server) = server {
-            quarantine.record_response(server.name(), Instant::now());
+        let Some(grant) = grants.get_mut(grant) else {
+            return;
+        };
+        if let Some(server) = servers.get(grant.server) {
+            quarantine.record_response(server.name(), now);
+        }
+        if sound && !std::mem::replace(&mut grant.sound, true) {
+            quarantine.record_sound(&grant.identity.shared, now);
         }
         self.log_crash_changes(&mut state, "own");
     }
--- a/crates/router/src/load/pool/permit.rs
+++ b/crates/router/src/load/pool/permit.rs
@@ -70,9 +70,14 @@
         self.pool.record_sound(self.grant);
     }
 
-    /// Records that the server sent a part of the response.
-    pub fn record_response(&self) {
-        self.pool.record_response(self.grant);
+    /// Records a batch of events of the response, and the `pause` before it if it isn't the first. `sound` tells
+    /// whether the response has gone past its beginning.
+    pub fn record_batch(&self, pause: Option<Duration>, sound: bool) {
+        match pause {
+            None => self.mark_started(),
+            Some(pause) => self.record_pause(pause),
+        }
+        self.pool.record_response(self.grant, sound);
     }
 
     /// Records that the connection was lost; `begun` tells whether the response had gone past its beginning.
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -11,6 +11,7 @@
 use crate::config::changelog::{self, Changelog};
 use crate::fleet::claims::{Claims, Operation, Outcome};
 use crate::fleet::frame::Frame;
+use crate::fleet::isolated_instances::IsolatedInstances;
 use crate::fleet::leaving_servers::{LeavingNotice, LeavingServers};
 use crate::fleet::links::PeerLinks;
 use crate::fleet::membership::{InstanceRecord, InstanceState, Membership};
@@ -37,6 +38,8 @@
     pub links: PeerLinks,
     /// Notices of backend servers that are leaving.
     pub leaving_servers: LeavingServers,
+    /// The instances that are cut off from all backend servers.
+    pub isolated: IsolatedInstances,
     /// Where recent streams began.
     pub stream_origins: StreamOrigins,
     /// Pools of backend servers.
@@ -66,6 +69,7 @@
         Arc::new(Self {
             token_signer: TokenSigner::new(&settings.peers.fleet_key),
             pools: Pools::new(&settings),
+            isolated: IsolatedInstances::new(&record),
             membership: Arc::new(Membership::new(record)),
             changelog: Arc::new(changelog),
             links: PeerLinks::default(),
--- a/crates/router/tests/frames.rs
+++ b/crates/router/tests/frames.rs
@@ -3,11 +3,13 @@
 mod common;
 
 use jackdawtally::claims::{Action, Entry, Operation, Outcome, Progress};
+use jackdawtally::fleet::isolated_instances::IsolationRecord;
 use jackdawtally::fleet_demand::ClassSummary;
 use jackdawtally::frame::{self, Floor, FloorKind, Frame, Hello, LinkError, Seal, Side};
 use jackdawtally::object::{Change, Edit, Object};
 use jackdawtally::origin::{Origin, OriginGroup, OriginQuery, OriginReply};
-use jackdawtally::pools::{PoolDemand, PoolLimits};
+use jackdawtally::pools::{PoolCrashes, PoolDemand, PoolLimits};
+use jackdawtally::quarantine::{self, Suspect};
 use jackdawtally::rate_limit::Notice;
 use uuid::Uuid;
 
@@ -35,6 +37,41 @@
     }
 }
 
+/// Frames of the protocol's version 3.
+fn frames_of_version_3() -> Vec<Frame> {
+    vec![
+        Frame::Crashes(vec![PoolCrashes {
+            pool: "m".into(),
+            notices: vec![
+                quarantine::Notice::Crash {
+                    server: "w1@7".into(),
+                    age_ms: 40,
+                    suspects: vec![Suspect {
+                        segment: u64::MAX,
+                        prompts: vec![1, 2],
+                    }],
+                },
+                quarantine::Notice::Refutation {
+                    server: "w1@7".into(),
+                    age_ms: 140,
+                },
+                quarantine::Notice::Sound(vec![3, 4]),
+                quarantine::Notice::Quarantined {
+                    segment: 5,
+                    age_ms: 9,
+                    crashes: 4,
+                },
+            ],
+        }]),
+        Frame::Isolation(vec![IsolationRecord {
+            id: "front-1".into(),
+            incarnation: 4,
+            sequence: 2,
+            isolated: true,
+        }]),
+    ]
+}
+
 fn all_frames() -> Vec<Frame> {
     let operation = Operation {
         key: Uuid::now_v7(),
@@ -128,7 +165,7 @@
 #[test]
 fn every_frame_decodes_to_what_was_sealed() {
     let (mut seal, mut open) = seal_pair();
-    for frame in all_frames() {
+    for frame in all_frames().into_iter().chain(frames_of_version_3()) {
         let sealed = seal.seal(&frame);
 
         let opened = open.open(&sealed);
