Failing test: brittle servers fall over in a burst

With 3 instances and 3 servers that bear one refusal a second 13 falls in 4 s (2 allowed), with 10 instances 38; none with one instance.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -2,6 +2,7 @@
 //! that runs router instances against them.
 
 pub mod bench;
+pub mod brittle_check;
 pub mod caller;
 pub mod config_checks;
 pub mod crash_check;
