Send brittle servers no more than they have slots, from all instances together

Cause: nothing read the notice, and each instance sends what fits by its own count; the sum over instances exceeds the room in a burst. With one instance nothing fell.

The slots are divided among the members as rate limits are; instances without a slot pass requests on to one that has any; the notice is exchanged between instances.

--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -81,6 +81,11 @@
         fields: &["id", "server", "begun", "segments"],
         meaning: "the connection of a request to its backend server was lost; `begun` tells whether the response had gone past its beginning, `segments` names the prompt segments that others have too",
     },
+    EventSpec {
+        name: "pool.brittle",
+        fields: &["pool", "state", "slots"],
+        meaning: "the servers of a pool say that they fall over when they refuse many requests (`begun`), or do so no more (`ended`); `slots` is how many of all their slots this instance uses meanwhile",
+    },
     EventSpec {
         name: "instance.isolation",
         fields: &["peer", "state", "number", "source"],
--- a/crates/router/src/fleet/frame.rs
+++ b/crates/router/src/fleet/frame.rs
@@ -16,7 +16,7 @@
 use crate::fleet::membership::InstanceRecord;
 use crate::fleet::origin::{OriginGroup, OriginQuery, OriginReply};
 pub use crate::load::admission_floors::FloorKind;
-use crate::load::pools::{PoolCrashes, PoolDemand, PoolLimits};
+use crate::load::pools::{BrittlePool, PoolCrashes, PoolDemand, PoolLimits};
 
 /// Newest version of the peer protocol that this build supports.
 pub const PROTOCOL: u16 = 3;
@@ -118,6 +118,8 @@
     Crashes(Vec<PoolCrashes>),
     /// Which instances are cut off from all backend servers.
     Isolation(Vec<IsolationRecord>),
+    /// Pools whose servers say that they are brittle.
+    Brittle(Vec<BrittlePool>),
 }
 
 impl Frame {
@@ -129,7 +131,7 @@
             | Self::StreamOrigins(_)
             | Self::FindOrigins(_)
             | Self::FoundOrigins(_) => 2,
-            Self::Crashes(_) | Self::Isolation(_) => 3,
+            Self::Crashes(_) | Self::Isolation(_) | Self::Brittle(_) => 3,
             _ => 1,
         }
     }
--- a/crates/router/src/fleet/link.rs
+++ b/crates/router/src/fleet/link.rs
@@ -435,6 +435,7 @@
                 node.mark_server_leaving(&server, at_ms, Some(&self.peer.id));
             }
             Frame::RateLimits(limits) => node.pools.merge_limits(&limits),
+            Frame::Brittle(pools) => node.pools.merge_brittle(&pools),
             Frame::Isolation(records) => {
                 let news = node.isolated.merge(&records);
                 if !news.is_empty() {
--- a/crates/router/src/forward/attempt.rs
+++ b/crates/router/src/forward/attempt.rs
@@ -101,6 +101,10 @@
     }
     let class = protocol.classify(request, &response.head);
     record_rate_limit(protocol, request, permit, &response, class);
+    if matches!(class, ResponseClass::Answered | ResponseClass::NotRun) {
+        let brittle = protocol.is_brittle(&response.head.headers);
+        permit.record_brittleness(brittle, class == ResponseClass::NotRun);
+    }
     match class {
         ResponseClass::Answered => Ok(response),
         ResponseClass::NotRun => Err(Failure::NotRun),
--- a/crates/router/src/forward/backend_protocol.rs
+++ b/crates/router/src/forward/backend_protocol.rs
@@ -76,6 +76,10 @@
     /// Returns the load report in the header fields of a response; `None` if there is none.
     fn load_report(&self, headers: &HeaderMap) -> Option<LoadReport>;
 
+    /// Returns whether the header fields of a response say that the server falls over when it has to refuse many
+    /// requests.
+    fn is_brittle(&self, headers: &HeaderMap) -> bool;
+
     /// Returns what the header fields of a response say of the server's rate limit.
     fn rate_limit(&self, headers: &HeaderMap) -> RateStatement;
 }
--- a/crates/router/src/forward/forwarder.rs
+++ b/crates/router/src/forward/forwarder.rs
@@ -261,14 +261,18 @@
         target.map_err(ForwardError::Fault)
     }
 
-    /// The instance that the request is passed on to; `None` if this instance reaches the servers itself, or no other
-    /// one can help.
+    /// The instance that the request is passed on to; `None` if this instance may send to the servers itself, or no
+    /// other one can help.
     fn next_peer(&self) -> Option<InstanceRecord> {
         let node = &self.context.node;
-        if self.request.forwarded_by.is_some() || !node.isolated.is_own() {
+        if self.request.forwarded_by.is_some() {
+            return None;
+        }
+        let holders = self.pool.slot_holders();
+        if holders.is_none() && !node.isolated.is_own() {
             return None;
         }
-        let candidates = peer::candidates(node, self.request);
+        let candidates = peer::candidates(node, self.request, holders.as_deref());
         let mut untried = candidates.into_iter();
         untried.find(|p| !self.tried_peers.contains(&p.id))
     }
--- a/crates/router/src/forward/peer.rs
+++ b/crates/router/src/forward/peer.rs
@@ -1,4 +1,5 @@
-//! Passes requests on to other instances while this one is cut off from all backend servers.
+//! Passes requests on to other instances while this one is cut off from all backend servers, or has no part of their
+//! slots.
 //!
 //! A peer gets the request on its address for callers, as the caller sent it, and treats it as its own: it
 //! authenticates, queues, limits and retries it. It never passes it on again.
@@ -15,7 +16,7 @@
 use super::connection_pool::{self, BackendResponse, ConnectionPool};
 use super::request::{EventId, ForwardedBy, Request};
 use crate::error::{Fault, Kind};
-use crate::fleet::membership::InstanceRecord;
+use crate::fleet::membership::{InstanceId, InstanceRecord};
 use crate::node::Node;
 use crate::rendezvous;
 
@@ -66,12 +67,18 @@
     }
 }
 
-/// The peers that may take a request, in the order in which they are tried.
+/// The peers that may take a request, in the order in which they are tried. `holders` are the only ones that may send
+/// to its servers; `None` if all may.
 #[must_use]
-pub fn candidates(node: &Node, request: &Request) -> Vec<InstanceRecord> {
+pub fn candidates(
+    node: &Node,
+    request: &Request,
+    holders: Option<&[InstanceId]>,
+) -> Vec<InstanceRecord> {
     let own = node.membership.own().id;
     let mut peers = node.membership.alive();
-    peers.retain(|r| r.id != own && !node.isolated.contains(r));
+    let may_send = |r: &InstanceRecord| holders.is_none_or(|holders| holders.contains(&r.id));
+    peers.retain(|r| r.id != own && !node.isolated.contains(r) && may_send(r));
     select(peers, &request.id)
 }
 
--- a/crates/router/src/load/mod.rs
+++ b/crates/router/src/load/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod admission_floors;
 pub mod arrival_rates;
+pub mod brittleness;
 pub mod budget;
 pub mod demand;
 pub mod fleet_demand;
--- a/crates/router/src/load/pool.rs
+++ b/crates/router/src/load/pool.rs
@@ -20,6 +20,7 @@
 use crate::error::{Fault, Kind};
 use crate::load::admission_floors::{AdmissionFloors, FloorKind};
 use crate::load::arrival_rates::ArrivalRates;
+use crate::load::brittleness::Brittleness;
 use crate::load::demand::Demand;
 use crate::load::fleet_demand::{ClassSummary, FleetDemand};
 use crate::load::partition::Partition;
@@ -31,6 +32,7 @@
 use crate::metrics::Metrics;
 
 mod admission;
+mod brittle_servers;
 mod crashes;
 mod dispatch;
 mod periodic;
@@ -115,6 +117,8 @@
             members: Arc::default(),
             undeclared_limits: HashMap::new(),
             announcements: BTreeSet::new(),
+            brittleness: Brittleness::default(),
+            shares_assigned: false,
             quarantine: Quarantine::new(Instant::now()),
             losses: HashMap::new(),
             partitioned: None,
@@ -171,6 +175,7 @@
                 state.add_server(Server::new((*server).clone(), local), now);
             }
         }
+        state.assign_shares();
         drop(state);
         self.dispatch_waiting();
     }
--- a/crates/router/src/load/pool/periodic.rs
+++ b/crates/router/src/load/pool/periodic.rs
@@ -23,6 +23,7 @@
             let mut replies = Vec::new();
             state.detect_pause(now);
             state.update_floors(now, self.limits.queue_bytes);
+            self.update_shares(&mut state, now);
             self.expel_quarantined(&mut state, now, &mut replies);
             self.evict(&mut state, now, &mut replies);
             self.expire(&mut state, now, &mut replies);
--- a/crates/router/src/load/pool/permit.rs
+++ b/crates/router/src/load/pool/permit.rs
@@ -93,6 +93,12 @@
         &self.pool
     }
 
+    /// Records whether the response says that its server is brittle, and whether the server refused the request for
+    /// want of room.
+    pub fn record_brittleness(&self, brittle: bool, refused: bool) {
+        self.pool.record_brittleness(self.grant, brittle, refused);
+    }
+
     /// Records the mean inter-token gap over a part of the response, in ms. Ignored while or
     /// shortly after this instance itself was paused.
     pub fn record_gap(&self, gap_ms: f64) {
--- a/crates/router/src/load/pool/rate_limits.rs
+++ b/crates/router/src/load/pool/rate_limits.rs
@@ -41,6 +41,7 @@
             }
         }
         state.members = members;
+        state.assign_shares();
     }
 
     /// Records what the response to the request `id`, which holds the permit `grant`, says of its server's
--- a/crates/router/src/load/pool/state.rs
+++ b/crates/router/src/load/pool/state.rs
@@ -17,6 +17,7 @@
 use crate::error::{Fault, Kind};
 use crate::load::admission_floors::AdmissionFloors;
 use crate::load::arrival_rates::ArrivalRates;
+use crate::load::brittleness::Brittleness;
 use crate::load::demand::Demand;
 use crate::load::fleet_demand::FleetDemand;
 use crate::load::partition::Partition;
@@ -113,6 +114,10 @@
     pub(super) undeclared_limits: HashMap<SmolStr, Statement>,
     /// Servers whose rate limits are to be announced to the other instances.
     pub(super) announcements: BTreeSet<SmolStr>,
+    /// Whether the servers fall over when they refuse too many requests.
+    pub(super) brittleness: Brittleness,
+    /// Whether this instance has parts of the servers' slots because they are brittle.
+    pub(super) shares_assigned: bool,
     /// Crashes of servers, and the prompt segments that cause them.
     pub(super) quarantine: Quarantine,
     /// Lost connections of which it isn't known yet whether the server crashed, by its name.
--- a/crates/router/src/load/pools.rs
+++ b/crates/router/src/load/pools.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
@@ -69,6 +70,17 @@
     pub limits: Vec<Notice>,
 }
 
+/// That the servers of one pool say that they are brittle, as exchanged between instances.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BrittlePool {
+    /// Name of the pool.
+    #[serde(rename = "p")]
+    pub pool: SmolStr,
+    /// Time since an instance last heard it from a server, in ms.
+    #[serde(rename = "a")]
+    pub age_ms: u32,
+}
+
 /// What is known of crashes of one pool's servers, as exchanged between instances.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PoolCrashes {
@@ -187,6 +199,29 @@
         }
     }
 
+    /// Takes the pools of which it is to be announced that their servers are brittle.
+    #[must_use]
+    pub fn take_brittle(&self) -> Vec<BrittlePool> {
+        let pools = self.all();
+        let announced = pools.iter().filter_map(|pool| {
+            let age = pool.take_brittleness()?;
+            Some(BrittlePool {
+                pool: pool.name().clone(),
+                age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
+            })
+        });
+        announced.collect()
+    }
+
+    /// Takes into account what a peer has heard of brittle servers.
+    pub fn merge_brittle(&self, peer: &[BrittlePool]) {
+        for BrittlePool { pool, age_ms } in peer {
+            if let Some(pool) = self.get(pool) {
+                pool.merge_brittleness(Duration::from_millis((*age_ms).into()));
+            }
+        }
+    }
+
     /// Takes the notices on crashes that are due to be sent to the other instances.
     #[must_use]
     pub fn take_crash_notices(&self) -> Vec<PoolCrashes> {
--- a/crates/router/src/load/rate_limit.rs
+++ b/crates/router/src/load/rate_limit.rs
@@ -4,7 +4,7 @@
 //! part of the rate. Rendezvous hashing over the members of the fleet selects them, so that instances
 //! agree on them without messages. What a server says of its limit is passed on between instances.
 
-use std::cmp::Ordering;
+use std::cmp::{Ordering, Reverse};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -42,6 +42,16 @@
 }
 
 impl Members {
+    /// The other members among the first `count` in the rendezvous order for a server.
+    #[must_use]
+    pub fn first(&self, server: &str, count: usize) -> Vec<&SmolStr> {
+        let key = rendezvous::hash(server.as_bytes());
+        let mut others: Vec<&SmolStr> = self.others.iter().collect();
+        others.sort_by_key(|other| Reverse((rendezvous::weight(key, other), *other)));
+        others.truncate(count);
+        others
+    }
+
     /// Creates the list of the instance `own` from all instances that take requests.
     #[must_use]
     pub fn new(own: SmolStr, all: impl IntoIterator<Item = SmolStr>) -> Self {
@@ -62,12 +72,14 @@
     }
 
     /// Number of instances.
-    const fn count(&self) -> usize {
+    #[must_use]
+    pub const fn count(&self) -> usize {
         self.others.len() + self.own_is_member as usize
     }
 
     /// Position of this instance in the rendezvous order for a server; `None` if it isn't a member.
-    fn rank(&self, server: &str) -> Option<usize> {
+    #[must_use]
+    pub fn rank(&self, server: &str) -> Option<usize> {
         if !self.own_is_member {
             return None;
         }
--- a/crates/router/src/load/server.rs
+++ b/crates/router/src/load/server.rs
@@ -9,6 +9,7 @@
 use tokio::time::Instant;
 
 use crate::config::object::{BackendServer, Level};
+use crate::load::brittleness::SlotShare;
 use crate::load::rate_limit::{LimitChange, Members, Rate, RateLimit};
 
 new_key_type! {
@@ -109,6 +110,8 @@
     connect_failed: Option<Instant>,
     /// What is known of the server's rate limit; `None` if it never named one.
     rate_limit: Option<RateLimit>,
+    /// This instance's part of the slots; `None` if the server isn't brittle.
+    slot_share: Option<SlotShare>,
 }
 
 impl Server {
@@ -132,6 +135,7 @@
             circuit: Circuit::Closed,
             connect_failed: None,
             rate_limit: None,
+            slot_share: None,
         }
     }
 
@@ -158,11 +162,40 @@
         closed && !self.leaving(now)
     }
 
-    /// Whether the server takes a new request now: it is available, and its rate limit leaves room for one of
-    /// this instance.
+    /// Whether the server takes a new request now: it is available, and its rate limit and, if it is brittle, its
+    /// slots leave room for one of this instance.
     #[must_use]
     pub fn accepts(&self, now: Instant) -> bool {
-        self.available(now) && self.rate_limit.is_none_or(|limit| limit.is_open(now))
+        let in_flight = self.in_flight;
+        let has_slot = self.slot_share.is_none_or(|s| s.is_open(in_flight, now));
+        let limit = self.rate_limit;
+        self.available(now) && has_slot && limit.is_none_or(|limit| limit.is_open(now))
+    }
+
+    /// This instance's part of the slots; `None` if the server isn't brittle.
+    #[must_use]
+    pub const fn slot_share(&self) -> Option<&SlotShare> {
+        self.slot_share.as_ref()
+    }
+
+    /// Sets this instance's part of the slots; `None` if the server isn't brittle.
+    pub const fn set_slot_share(&mut self, share: Option<SlotShare>) {
+        self.slot_share = share;
+    }
+
+    /// Whether this instance may use any slot of the server.
+    #[must_use]
+    pub fn has_slots(&self) -> bool {
+        self.slot_share.is_none_or(|share| share.slots() > 0)
+    }
+
+    /// Records that the server had no room for a request of this instance; returns whether it is brittle.
+    pub fn refuse_brittle(&mut self, now: Instant) -> bool {
+        let others = self.in_flight.saturating_sub(1);
+        if let Some(share) = &mut self.slot_share {
+            share.refuse(others, now);
+        }
+        self.slot_share.is_some()
     }
 
     /// Records that a connection to the server couldn't be opened.
--- a/crates/router/src/reports.rs
+++ b/crates/router/src/reports.rs
@@ -47,6 +47,10 @@
         if !limits.is_empty() {
             node.links.broadcast(&Frame::RateLimits(limits), None);
         }
+        let brittle = node.pools.take_brittle();
+        if !brittle.is_empty() {
+            node.links.broadcast(&Frame::Brittle(brittle), None);
+        }
         let crashes = node.pools.take_crash_notices();
         if !crashes.is_empty() {
             node.links.broadcast(&Frame::Crashes(crashes), None);
