Break off streams whose event doesn't end

What callers saw: nothing yet; the users' pages say that bytes that are no answer may come without end. An event of a stream that doesn't end was kept in memory whole, and each block that came was searched together with all before it: a test of one such stream still ran after 60 s, far beyond its route's timeout of 3 s, as its instance did nothing else.

Change: an event of more than 1 MiB breaks the stream off, as a lost connection does. Heads without end are bounded by the HTTP library (test), other bodies by back pressure and the route's timeout.

--- a/crates/router/src/forward/forwarder/responses.rs
+++ b/crates/router/src/forward/forwarder/responses.rs
@@ -137,7 +137,10 @@
                 Ok(None) if splitter.is_empty() => break,
                 Ok(None) | Err(_) => return Ok(AttemptResult::Failed(Failure::Broken)),
             };
-            splitter.feed(&bytes);
+            if let Err(error) = splitter.feed(&bytes) {
+                log::warn!("id={} stream=broken reason=\"{error}\"", self.request.id);
+                return Ok(AttemptResult::Failed(Failure::Broken));
+            }
             let Some(batch) = splitter.events(self.resume_after) else {
                 continue;
             };
--- a/crates/router/src/sse.rs
+++ b/crates/router/src/sse.rs
@@ -4,6 +4,8 @@
 
 /// Maximum length of a line that the parser accepts.
 const MAX_LINE_BYTES: usize = 1 << 20;
+/// Maximum length of an event that is passed on unchanged.
+const MAX_EVENT_BYTES: usize = 1 << 20;
 
 /// A parsed event.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -76,6 +78,11 @@
     }
 }
 
+/// An event of the stream exceeds the maximum length.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("an event of the stream is longer than {MAX_EVENT_BYTES} bytes")]
+pub struct EventTooLong;
+
 /// Complete events in their original encoding.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Batch {
@@ -94,8 +101,15 @@
 
 impl EventSplitter {
     /// Appends the next bytes of the stream.
-    pub fn feed(&mut self, bytes: &[u8]) {
+    ///
+    /// # Errors
+    /// If an incomplete event exceeds the maximum length.
+    pub fn feed(&mut self, bytes: &[u8]) -> Result<(), EventTooLong> {
+        if self.buffer.len() > MAX_EVENT_BYTES {
+            return Err(EventTooLong);
+        }
         self.buffer.extend_from_slice(bytes);
+        Ok(())
     }
 
     /// Whether no incomplete event is buffered.
--- a/crates/router/tests/events.rs
+++ b/crates/router/tests/events.rs
@@ -12,7 +12,7 @@
     let mut last = after;
     let mut bytes = Vec::new();
     for part in parts {
-        splitter.feed(part);
+        splitter.feed(part).expect("the events are short");
         if let Some(batch) = splitter.events(last) {
             bytes.extend_from_slice(&batch.bytes);
             last = batch.last;
@@ -49,3 +49,17 @@
     assert_eq!(bytes, b"data: c\n\nid: 4\ndata: d\n\n");
     assert_eq!(last, Some(4));
 }
+
+/// An event without end filled the memory, and each further block was searched with all that came before.
+#[test]
+fn event_without_end_is_an_error() {
+    let mut splitter = EventSplitter::default();
+    let block = vec![b'x'; 1 << 16];
+
+    let accepted = (0..100).take_while(|_| {
+        let fed = splitter.feed(&block).is_ok();
+        fed && splitter.events(None).is_none()
+    });
+
+    assert!(accepted.count() < 20);
+}
