Split the quarantine and the forwarder's peers into modules of their own

The quarantine's notices, crashes and sound segments, and what the forwarder does with other instances, each have a module; a segment in quarantine has a type instead of a variant's fields. No change of behaviour.

--- a/crates/router/src/forward/forwarder.rs
+++ b/crates/router/src/forward/forwarder.rs
@@ -14,8 +14,7 @@
 use super::connection_pool::ConnectionPool;
 use super::crash;
 use super::origin::Binding;
-use super::peer;
-use super::request::{EventId, ForwardedBy, Request};
+use super::request::{EventId, Request};
 use super::route::ServiceName;
 use crate::error::{Fault, Kind, Ran};
 use crate::fleet::membership::{InstanceId, InstanceRecord};
@@ -41,6 +40,7 @@
 /// Retry delay advised to callers whose request no backend server could take.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
 
+mod peers;
 mod responses;
 
 use responses::BufferedResponse;
@@ -261,52 +261,6 @@
         target.map_err(ForwardError::Fault)
     }
 
-    /// The instance that the request is passed on to; `None` if this instance may send to the servers itself, or no
-    /// other one can help.
-    fn next_peer(&self) -> Option<InstanceRecord> {
-        let node = &self.context.node;
-        if self.request.forwarded_by.is_some() {
-            return None;
-        }
-        let holders = self.pool.slot_holders();
-        if holders.is_none() && !node.isolated.is_own() {
-            return None;
-        }
-        let candidates = peer::candidates(node, self.request, holders.as_deref());
-        let mut untried = candidates.into_iter();
-        untried.find(|p| !self.tried_peers.contains(&p.id))
-    }
-
-    /// Completes when there is such an instance.
-    async fn wait_for_peer(&self) -> InstanceRecord {
-        if self.request.forwarded_by.is_some() {
-            return std::future::pending().await;
-        }
-        loop {
-            self.context.node.isolated.wait_own().await;
-            if let Some(peer) = self.next_peer() {
-                return peer;
-            }
-            time::sleep(RECHECK_INTERVAL).await;
-        }
-    }
-
-    /// Completes when a request that is open at a server should be abandoned for an attempt at another instance: this
-    /// one is cut off, also from that server, and the retry budget was charged.
-    async fn wait_cut(&self, permit: &Permit) {
-        if !self.may_move(permit) {
-            return std::future::pending().await;
-        }
-        loop {
-            self.wait_for_peer().await;
-            let silent = self.context.connections.signs().is_silent(Instant::now());
-            if silent && self.spend_retry() {
-                return;
-            }
-            time::sleep(RECHECK_INTERVAL).await;
-        }
-    }
-
     async fn run_at_server(&mut self, permit: Permit) -> Result<AttemptResult, ForwardError> {
         self.log.start_attempt(&permit);
         let result = self.run_attempt(&permit).await?;
@@ -319,47 +273,6 @@
         Ok(result)
     }
 
-    /// Passes the request on to another instance. One that can't be reached or refuses is followed by the next.
-    async fn run_at_peer(&mut self, peer: &InstanceRecord) -> Result<AttemptResult, ForwardError> {
-        let context = self.context;
-        self.tried_peers.push(peer.id.clone());
-        self.log.start_forwarding(&peer.id);
-        context.node.metrics.count("peer.sent");
-        let forwarded_by = ForwardedBy {
-            instance: context.node.settings.instance.clone(),
-            attempts: self.attempts,
-        };
-        let ran_before = std::mem::replace(&mut self.may_have_run, true);
-        let response = peer::send(
-            &context.peers,
-            &context.protocol,
-            self.request,
-            peer,
-            forwarded_by,
-            self.resume_after,
-        );
-        match response.await {
-            Ok(response)
-                if self.request.route.kind.is_stream() && response.head.status.is_success() =>
-            {
-                self.forward_stream(None, response).await
-            }
-            Ok(response) => self.forward_buffered(None, response).await,
-            Err(error) => {
-                if error.failure.is_certainly_not_run() {
-                    self.may_have_run = ran_before;
-                }
-                context.node.metrics.count("peer.failed");
-                match error.refusal {
-                    Some(refusal) if !refusal.elsewhere || self.next_peer().is_none() => {
-                        Err(ForwardError::Fault(refusal.fault()))
-                    }
-                    _ => Ok(AttemptResult::Failed(error.failure)),
-                }
-            }
-        }
-    }
-
     /// Records that the connection of the attempt was lost, and starts a check whether its server crashed.
     fn record_loss(&self, permit: &Permit) {
         let server = &permit.declared.name;
--- a/crates/router/src/load/isolation.rs
+++ b/crates/router/src/load/isolation.rs
@@ -63,11 +63,14 @@
     /// Whether a round of probes is due.
     #[must_use]
     pub fn is_probe_due(&self, signs: &Signs, now: Instant) -> bool {
-        let interval = match () {
-            () if self.isolated => RETURN_PROBE_INTERVAL,
-            () if signs.is_failing() => PROBE_INTERVAL,
-            () if signs.is_silent(now) => SILENT_PROBE_INTERVAL,
-            () => return false,
+        let interval = if self.isolated {
+            RETURN_PROBE_INTERVAL
+        } else if signs.is_failing() {
+            PROBE_INTERVAL
+        } else if signs.is_silent(now) {
+            SILENT_PROBE_INTERVAL
+        } else {
+            return false;
         };
         let probed = self.probed;
         probed.is_none_or(|at| now.saturating_duration_since(at) >= interval)
--- a/crates/router/src/load/pool/crashes.rs
+++ b/crates/router/src/load/pool/crashes.rs
@@ -12,7 +12,8 @@
 use crate::error::{Fault, Kind};
 use crate::event::Line;
 use crate::load::quarantine::{
-    Notice, PromptIdentity, QUARANTINE_TIME, QuarantineChange, SegmentId, Standing,
+    Notice, PromptIdentity, QUARANTINE_TIME, QuarantineChange, QuarantinedSegment, SegmentId,
+    Standing,
 };
 
 /// Time between two checks whether another prompt with a suspected segment is still open.
@@ -160,9 +161,9 @@
                     Standing::Unsuspected => return Ok(()),
                     Standing::Suspected(segment) if !state.has_open(segment) => return Ok(()),
                     Standing::Suspected(_) => {}
-                    standing @ Standing::Quarantined { .. } => {
+                    Standing::Quarantined(quarantined) => {
                         self.metrics.count("shed.quarantine");
-                        return Err(quarantine_fault(standing));
+                        return Err(quarantine_fault(quarantined));
                     }
                 }
             }
@@ -191,14 +192,16 @@
             .items()
             .filter_map(|(id, waiter)| {
                 let segments = &waiter.admission.identity.shared;
-                let standing = state.quarantine.standing(segments, now);
-                matches!(standing, Standing::Quarantined { .. }).then_some((id, standing))
+                match state.quarantine.standing(segments, now) {
+                    Standing::Quarantined(quarantined) => Some((id, quarantined)),
+                    Standing::Unsuspected | Standing::Suspected(_) => None,
+                }
             })
             .collect();
-        for (id, standing) in expelled {
+        for (id, quarantined) in expelled {
             if let Some(dequeued) = state.queue.remove(id) {
                 self.metrics.count("shed.quarantine");
-                replies.push((dequeued.item.reply, Err(quarantine_fault(standing))));
+                replies.push((dequeued.item.reply, Err(quarantine_fault(quarantined))));
             }
         }
     }
@@ -250,15 +253,12 @@
     }
 }
 
-fn quarantine_fault(standing: Standing) -> Fault {
-    let Standing::Quarantined {
+fn quarantine_fault(quarantined: QuarantinedSegment) -> Fault {
+    let QuarantinedSegment {
         segment,
         crashes,
         age,
-    } = standing
-    else {
-        return Fault::new(Kind::Internal, "the prompt isn't in quarantine");
-    };
+    } = quarantined;
     let message = format!(
         "the prompt segment {segment:x} is in quarantine for {} s: {crashes} backend servers crashed under it",
         age.as_secs()
--- a/crates/router/src/load/quarantine.rs
+++ b/crates/router/src/load/quarantine.rs
@@ -5,13 +5,21 @@
 //! cause. A segment is sound, and no suspect any more, once a response to a prompt with it went on past its
 //! beginning, at any instance.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use tokio::time::Instant;
 
+mod crash;
+mod notice;
+mod sound_segments;
+
+pub use notice::{Notice, Suspect};
+
+use crash::{Crash, MAX_SUSPECTS, Suspects};
+use sound_segments::SoundSegments;
+
 /// Identifies the content of a prompt segment.
 pub type SegmentId = u64;
 /// Identifies a prompt by its last segment, which is its own.
@@ -31,28 +39,18 @@
 const CRASHES_PER_SUSPICION: usize = 3;
 /// Time for the other instances to say that a server didn't crash, or that a segment is sound.
 const OBJECTION_TIME: Duration = Duration::from_millis(300);
-/// Two reports of a crash of one server within this time are about the same crash.
-const SAME_CRASH: Duration = Duration::from_millis(800);
 /// Time for which a crash is remembered.
 const CRASH_RETENTION: Duration = Duration::from_mins(2);
 /// A response of the server that comes this long after its reported crash refutes it.
 const REFUTATION_MARGIN: Duration = Duration::from_millis(100);
-/// Time for which a segment that was found sound counts as sound, at least.
-const SOUND_RETENTION: Duration = Duration::from_mins(1);
 /// Time between two announcements that a segment is sound.
 const SOUND_REPEAT: Duration = Duration::from_secs(10);
 /// Time after which a segment in quarantine is tried again with single prompts. One more crash renews it.
 pub const QUARANTINE_TIME: Duration = Duration::from_hours(1);
 /// Maximum number of crashes that are remembered.
 const MAX_CRASHES: usize = 64;
-/// Maximum number of suspected segments of one crash.
-const MAX_SUSPECTS: usize = 64;
-/// Maximum number of prompts that are told apart for each suspected segment of one crash.
-const MAX_PROMPTS: usize = 8;
 /// Maximum number of segments in quarantine; the oldest is released for a new one.
 const MAX_QUARANTINED: usize = 256;
-/// Maximum number of sound segments that are remembered for each [`SOUND_RETENTION`].
-const MAX_SOUND: usize = 8_192;
 
 /// The identity of a prompt, as far as it may crash a server.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -63,59 +61,15 @@
     pub prompt: PromptId,
 }
 
-/// A segment that may have caused a crash.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Suspect {
+/// A segment in quarantine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct QuarantinedSegment {
     /// The segment.
-    #[serde(rename = "s")]
     pub segment: SegmentId,
-    /// The prompts with it whose responses had not gone past their beginning.
-    #[serde(rename = "p")]
-    pub prompts: Vec<PromptId>,
-}
-
-/// What instances tell each other of crashes and segments.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Notice {
-    /// A server crashed.
-    #[serde(rename = "c")]
-    Crash {
-        /// The server's name.
-        #[serde(rename = "n")]
-        server: SmolStr,
-        /// Time since the crash, in ms.
-        #[serde(rename = "a")]
-        age_ms: u32,
-        /// The segments that may be the cause.
-        #[serde(rename = "s")]
-        suspects: Vec<Suspect>,
-    },
-    /// A server that was reported to have crashed responds.
-    #[serde(rename = "r")]
-    Refutation {
-        /// The server's name.
-        #[serde(rename = "n")]
-        server: SmolStr,
-        /// Time since the reported crash, in ms.
-        #[serde(rename = "a")]
-        age_ms: u32,
-    },
-    /// Responses to prompts with these segments went on past their beginning.
-    #[serde(rename = "o")]
-    Sound(Vec<SegmentId>),
-    /// A segment is in quarantine.
-    #[serde(rename = "q")]
-    Quarantined {
-        /// The segment.
-        #[serde(rename = "s")]
-        segment: SegmentId,
-        /// Time since it was put into quarantine, in ms.
-        #[serde(rename = "a")]
-        age_ms: u32,
-        /// The number of crashes on which this is based.
-        #[serde(rename = "n")]
-        crashes: u32,
-    },
+    /// The number of crashes on which this is based.
+    pub crashes: u32,
+    /// Time since it was put into quarantine.
+    pub age: Duration,
 }
 
 /// What is known of the segments of a prompt.
@@ -125,15 +79,8 @@
     Unsuspected,
     /// Servers crashed under prompts with this segment: only one prompt with it is to be sent at a time.
     Suspected(SegmentId),
-    /// The segment is in quarantine.
-    Quarantined {
-        /// The segment.
-        segment: SegmentId,
-        /// The number of crashes on which this is based.
-        crashes: u32,
-        /// Time since it was put into quarantine.
-        age: Duration,
-    },
+    /// A segment of it is in quarantine.
+    Quarantined(QuarantinedSegment),
 }
 
 /// A change of what is known, for the log.
@@ -149,16 +96,6 @@
     Ended(SegmentId),
 }
 
-#[derive(Debug)]
-struct Crash {
-    server: SmolStr,
-    at: Instant,
-    /// When this instance learned of it.
-    noted: Instant,
-    suspects: BTreeMap<SegmentId, BTreeSet<PromptId>>,
-    refuted: bool,
-}
-
 #[derive(Clone, Copy, Debug)]
 struct Verdict {
     since: Instant,
@@ -172,33 +109,6 @@
     }
 }
 
-/// Segments that were found sound, in two generations.
-#[derive(Debug)]
-struct SoundSegments {
-    recent: HashSet<SegmentId>,
-    older: HashSet<SegmentId>,
-    rotated: Instant,
-}
-
-impl SoundSegments {
-    fn contains(&self, segment: SegmentId) -> bool {
-        self.recent.contains(&segment) || self.older.contains(&segment)
-    }
-
-    /// Inserts a segment; returns whether it wasn't known to be sound.
-    fn insert(&mut self, segment: SegmentId, now: Instant) -> bool {
-        if now.saturating_duration_since(self.rotated) >= SOUND_RETENTION {
-            self.older = std::mem::take(&mut self.recent);
-            self.rotated = now;
-        }
-        let new = !self.contains(segment);
-        if self.recent.len() < MAX_SOUND {
-            self.recent.insert(segment);
-        }
-        new
-    }
-}
-
 /// Evidence of crashes, and the segments in quarantine, as known to one instance.
 #[derive(Debug)]
 pub struct Quarantine {
@@ -218,11 +128,7 @@
     pub fn new(now: Instant) -> Self {
         Self {
             crashes: Vec::new(),
-            sound: SoundSegments {
-                recent: HashSet::new(),
-                older: HashSet::new(),
-                rotated: now,
-            },
+            sound: SoundSegments::new(now),
             announced: HashMap::new(),
             verdicts: HashMap::new(),
             notices: Vec::new(),
@@ -240,11 +146,11 @@
         for &segment in segments {
             match self.verdicts.get(&segment) {
                 Some(verdict) if !verdict.is_due(now) => {
-                    return Standing::Quarantined {
+                    return Standing::Quarantined(QuarantinedSegment {
                         segment,
                         crashes: verdict.crashes,
                         age: now.saturating_duration_since(verdict.since),
-                    };
+                    });
                 }
                 Some(_) => suspected = Some(segment),
                 None if self.suspicions(segment).count() >= SUSPECTING_CRASHES => {
@@ -277,7 +183,7 @@
         open: &[PromptIdentity],
         now: Instant,
     ) {
-        let mut suspects: BTreeMap<SegmentId, BTreeSet<PromptId>> = BTreeMap::new();
+        let mut suspects: Suspects = BTreeMap::new();
         for prompt in open {
             for &segment in &prompt.shared {
                 suspects.entry(segment).or_default().insert(prompt.prompt);
@@ -499,13 +405,7 @@
     }
 
     /// Adds a crash, or new suspects of a known one, and passes on what is new.
-    fn add_crash(
-        &mut self,
-        server: &SmolStr,
-        at: Instant,
-        suspects: BTreeMap<SegmentId, BTreeSet<PromptId>>,
-        now: Instant,
-    ) {
+    fn add_crash(&mut self, server: &SmolStr, at: Instant, suspects: Suspects, now: Instant) {
         let known = self.crashes.iter().position(|c| c.is_same(server, at));
         let index = known.unwrap_or_else(|| {
             self.forget_oldest();
@@ -535,45 +435,6 @@
     }
 }
 
-impl Crash {
-    fn is_same(&self, server: &str, at: Instant) -> bool {
-        let apart = self.at.max(at) - self.at.min(at);
-        self.server == server && apart < SAME_CRASH
-    }
-
-    /// Adds suspects, and returns those that are new.
-    fn add_suspects(
-        &mut self,
-        suspects: BTreeMap<SegmentId, BTreeSet<PromptId>>,
-    ) -> BTreeMap<SegmentId, BTreeSet<PromptId>> {
-        let mut added: BTreeMap<SegmentId, BTreeSet<PromptId>> = BTreeMap::new();
-        for (segment, prompts) in suspects {
-            if !self.suspects.contains_key(&segment) && self.suspects.len() >= MAX_SUSPECTS {
-                continue;
-            }
-            let known = self.suspects.entry(segment).or_default();
-            for prompt in prompts {
-                if known.len() < MAX_PROMPTS && known.insert(prompt) {
-                    added.entry(segment).or_default().insert(prompt);
-                }
-            }
-        }
-        added
-    }
-
-    fn notice(&self, suspects: &BTreeMap<SegmentId, BTreeSet<PromptId>>, now: Instant) -> Notice {
-        let suspects = suspects.iter().map(|(segment, prompts)| Suspect {
-            segment: *segment,
-            prompts: prompts.iter().copied().collect(),
-        });
-        Notice::Crash {
-            server: self.server.clone(),
-            age_ms: millis(now.saturating_duration_since(self.at)),
-            suspects: suspects.collect(),
-        }
-    }
-}
-
 fn millis(duration: Duration) -> u32 {
     u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
 }
--- /dev/null
+++ b/crates/router/src/load/quarantine/crash.rs
@@ -0,0 +1,66 @@
+//! One crash of a server, with the segments that may have caused it.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use smol_str::SmolStr;
+use tokio::time::Instant;
+
+use super::notice::{Notice, Suspect};
+use super::{PromptId, SegmentId, millis};
+
+/// Two reports of a crash of one server within this time are about the same crash.
+const SAME_CRASH: Duration = Duration::from_millis(800);
+/// Maximum number of suspected segments of one crash.
+pub(super) const MAX_SUSPECTS: usize = 64;
+/// Maximum number of prompts that are told apart for each suspected segment of one crash.
+const MAX_PROMPTS: usize = 8;
+
+/// Suspected segments, each with the prompts that were open.
+pub(super) type Suspects = BTreeMap<SegmentId, BTreeSet<PromptId>>;
+
+#[derive(Debug)]
+pub(super) struct Crash {
+    pub(super) server: SmolStr,
+    pub(super) at: Instant,
+    /// When this instance learned of it.
+    pub(super) noted: Instant,
+    pub(super) suspects: Suspects,
+    pub(super) refuted: bool,
+}
+
+impl Crash {
+    pub(super) fn is_same(&self, server: &str, at: Instant) -> bool {
+        let apart = self.at.max(at) - self.at.min(at);
+        self.server == server && apart < SAME_CRASH
+    }
+
+    /// Adds suspects, and returns those that are new.
+    pub(super) fn add_suspects(&mut self, suspects: Suspects) -> Suspects {
+        let mut added: Suspects = BTreeMap::new();
+        for (segment, prompts) in suspects {
+            if !self.suspects.contains_key(&segment) && self.suspects.len() >= MAX_SUSPECTS {
+                continue;
+            }
+            let known = self.suspects.entry(segment).or_default();
+            for prompt in prompts {
+                if known.len() < MAX_PROMPTS && known.insert(prompt) {
+                    added.entry(segment).or_default().insert(prompt);
+                }
+            }
+        }
+        added
+    }
+
+    pub(super) fn notice(&self, suspects: &Suspects, now: Instant) -> Notice {
+        let suspects = suspects.iter().map(|(segment, prompts)| Suspect {
+            segment: *segment,
+            prompts: prompts.iter().copied().collect(),
+        });
+        Notice::Crash {
+            server: self.server.clone(),
+            age_ms: millis(now.saturating_duration_since(self.at)),
+            suspects: suspects.collect(),
+        }
+    }
+}
--- a/crates/standins/tests/crashing_prompts.rs
+++ b/crates/standins/tests/crashing_prompts.rs
@@ -241,7 +241,7 @@
         let refused = match standing {
             Standing::Unsuspected => false,
             Standing::Suspected(segment) => self.is_open(request.instance, segment),
-            Standing::Quarantined { .. } => true,
+            Standing::Quarantined(_) => true,
         };
         let up: Vec<usize> = (0..self.servers.len())
             .filter(|n| self.servers[*n].down_until.is_none())
@@ -472,14 +472,8 @@
     }
 
     let standing = started.standing(&[10, CRASHING], fleet.now);
-    assert!(
-        matches!(
-            standing,
-            Standing::Quarantined {
-                segment: CRASHING,
-                ..
-            }
-        ),
-        "{standing:?}"
-    );
+    let Standing::Quarantined(quarantined) = standing else {
+        panic!("{standing:?}");
+    };
+    assert_eq!(quarantined.segment, CRASHING);
 }
