--- a/crates/router/tests/frames.rs
+++ b/crates/router/tests/frames.rs
@@ -8,7 +8,7 @@
 use jackdawtally::frame::{self, Floor, FloorKind, Frame, Hello, LinkError, Seal, Side};
 use jackdawtally::object::{Change, Edit, Object};
 use jackdawtally::origin::{Origin, OriginGroup, OriginQuery, OriginReply};
-use jackdawtally::pools::{PoolCrashes, PoolDemand, PoolLimits};
+use jackdawtally::pools::{BrittlePool, PoolCrashes, PoolDemand, PoolLimits};
 use jackdawtally::quarantine::{self, Suspect};
 use jackdawtally::rate_limit::Notice;
 use uuid::Uuid;
@@ -265,3 +265,36 @@
     println!("{} bytes a notice, {per_second} a second", bytes / 290);
     assert!(per_second < 8_000, "{per_second}");
 }
+
+/// Sizes that docs/CAPACITY.md reckons with.
+#[test]
+fn frames_on_servers_in_trouble_are_small() {
+    let suspects = (0..10).map(|n| Suspect {
+        segment: u64::MAX - n,
+        prompts: vec![u64::MAX - n],
+    });
+    let crash = Frame::Crashes(vec![PoolCrashes {
+        pool: "jackdaw-pool".into(),
+        notices: vec![quarantine::Notice::Crash {
+            server: "i-7f3a91c2aa@1764846000000".into(),
+            age_ms: 340,
+            suspects: suspects.collect(),
+        }],
+    }]);
+    let isolation = Frame::Isolation(vec![IsolationRecord {
+        id: "front-hall-ganado-1".into(),
+        incarnation: 1_764_846_000_000,
+        sequence: 2,
+        isolated: true,
+    }]);
+    let brittle = Frame::Brittle(vec![BrittlePool {
+        pool: "jackdaw-pool".into(),
+        age_ms: 340,
+    }]);
+
+    let sizes = [crash, isolation, brittle].map(|f| frame::encode(&f).len());
+
+    assert!(sizes[0] <= 320, "{sizes:?}");
+    assert!(sizes[1] <= 80, "{sizes:?}");
+    assert!(sizes[2] <= 60, "{sizes:?}");
+}
