--- a/crates/router/src/adapters/callers.rs
+++ b/crates/router/src/adapters/callers.rs
@@ -349,6 +349,8 @@
             partial: false,
         },
         identity: Arc::default(),
+        may_try: true,
+        lost: None,
         prefix_hash,
         first_token_target: class.first_token_ms.map(Duration::from_millis),
         gap_target: None,
--- a/crates/router/src/error.rs
+++ b/crates/router/src/error.rs
@@ -103,6 +103,10 @@
     Overloaded => ("overloaded", 429, "overloaded_error", No);
     /// Backend servers crash under a segment of the prompt, which is kept from them for now.
     PromptQuarantined => ("prompt_quarantined", 503, "invalid_request_error", No);
+    /// Backend servers crash under the request, which is kept from them for now.
+    RequestQuarantined => ("request_quarantined", 503, "invalid_request_error", No);
+    /// Backend servers crashed under the request, and it isn't tried now.
+    RequestSuspected => ("request_suspected", 503, "server_error", No);
     /// The deadline of the caller can no longer be met.
     DeadlineExceeded => ("deadline_exceeded", 504, "timeout_error", No);
     /// The instance is draining and accepts no new requests.
--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -68,18 +68,23 @@
     },
     EventSpec {
         name: "server.crash",
-        fields: &["server", "state", "suspects", "source"],
-        meaning: "a crash of a backend server was `reported`, with the number of prompt segments that may be the cause, or `refuted`, as the server responds; the source is `own` or `peer`",
+        fields: &["server", "state", "of", "suspects", "source"],
+        meaning: "a crash of a backend server was `reported`, with the number of prompt segments or requests (`of`) that may be the cause, or `refuted`, as the server responds; the source is `own` or `peer`",
     },
     EventSpec {
         name: "prompt.quarantine",
         fields: &["segment", "state", "crashes", "source"],
         meaning: "requests with a prompt segment are kept from backend servers, as so many crashed under it (`begun`), or are sent again, as a response to one of them went on (`ended`); the source is `own` or `peer`",
     },
+    EventSpec {
+        name: "request.quarantine",
+        fields: &["request", "state", "crashes", "source"],
+        meaning: "a request, which comes again, is kept from backend servers, as so many crashed under it (`begun`), or is sent again, as a response to it went on (`ended`); `request` is the same in all its repeats; the source is `own` or `peer`",
+    },
     EventSpec {
         name: "request.lost",
-        fields: &["id", "server", "begun", "segments"],
-        meaning: "the connection of a request to its backend server was lost; `begun` tells whether the response had gone past its beginning, `segments` names the prompt segments that others have too",
+        fields: &["id", "server", "begun", "segments", "request"],
+        meaning: "the connection of a request to its backend server was lost; `begun` tells whether the response had gone past its beginning, `segments` names the prompt segments that others have too, `request` is the same in all repeats of the request",
     },
     EventSpec {
         name: "pool.brittle",
--- a/crates/router/src/fleet/link.rs
+++ b/crates/router/src/fleet/link.rs
@@ -443,7 +443,7 @@
                     node.links.broadcast(&frame, Some(&self.peer.id));
                 }
             }
-            Frame::Crashes(crashes) => node.pools.merge_crashes(&crashes),
+            Frame::Crashes(crashes) => node.pools.merge_crashes(crashes),
             Frame::StreamOrigins(groups) => node.stream_origins.keep(&groups),
             Frame::FindOrigins(queries) => {
                 node.stream_origins.receive_queries(&queries, &self.peer.id);
--- a/crates/router/src/forward/access_log.rs
+++ b/crates/router/src/forward/access_log.rs
@@ -16,7 +16,7 @@
 use crate::error::Fault;
 use crate::event::{self, Line};
 use crate::load::pool::Permit;
-use crate::load::quarantine::SegmentId;
+use crate::load::quarantine::RequestIdentity;
 use crate::load::rate_limit::Usage;
 use crate::metrics::{Metrics, RequestSummary};
 
@@ -136,13 +136,15 @@
     }
 
     /// Writes a log line that the connection to the server was lost.
-    pub fn lose(&self, server: &str, begun: bool, segments: &[SegmentId]) {
-        let segments: Vec<String> = segments.iter().map(|s| format!("{s:x}")).collect();
+    pub fn lose(&self, server: &str, begun: bool, identity: &RequestIdentity) {
+        let segments: Vec<String> = identity.shared.iter().map(|s| format!("{s:x}")).collect();
+        let request = identity.request.map(|id| format!("{id:x}"));
         Line::new("request.lost")
             .field("id", &self.request.id)
             .field("server", server)
             .field("begun", begun)
             .field("segments", segments.join(","))
+            .optional_field("request", request)
             .write(Level::Info);
     }
 
--- a/crates/router/src/forward/forwarder.rs
+++ b/crates/router/src/forward/forwarder.rs
@@ -13,6 +13,7 @@
 use super::backend_protocol::BackendProtocol;
 use super::connection_pool::ConnectionPool;
 use super::crash;
+use super::fingerprint::Fingerprints;
 use super::origin::Binding;
 use super::request::{EventId, Request};
 use super::route::ServiceName;
@@ -20,7 +21,7 @@
 use crate::fleet::membership::{InstanceId, InstanceRecord};
 use crate::http1::{Disconnected, ResponseWriter};
 use crate::load::budget::{self, BudgetLimits, RetryBudget};
-use crate::load::pool::{AdmissionRequest, Permit, Pool};
+use crate::load::pool::{AdmissionRequest, LostServer, Permit, Pool};
 use crate::load::prompt_placement::Prompt;
 use crate::load::queue::RequestAttributes;
 use crate::node::Node;
@@ -55,6 +56,8 @@
     pub peers: ConnectionPool,
     /// The protocol of the backend servers.
     pub protocol: P,
+    /// Recognises requests that come again.
+    pub fingerprints: Fingerprints,
     /// Limits of the retry budgets, which are kept for each service.
     pub limits: BudgetLimits,
     budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
@@ -65,6 +68,7 @@
     #[must_use]
     pub fn new(node: Arc<Node>, protocol: P, limits: BudgetLimits) -> Self {
         Self {
+            fingerprints: Fingerprints::new(&node.settings.peers.fleet_key),
             node,
             connections: ConnectionPool::default(),
             peers: ConnectionPool::default(),
@@ -243,22 +247,27 @@
         }
     }
 
-    /// Where the next attempt goes: to a backend server, or to another instance if this one is cut off from all
-    /// servers.
+    /// Where the next attempt goes: to a backend server, or to another instance if that one is to send it.
     async fn next_target(&mut self) -> Result<Target, ForwardError> {
-        if let Some(peer) = self.next_peer() {
-            return Ok(Target::Peer(peer));
+        loop {
+            if let Some(peer) = self.next_peer() {
+                return Ok(Target::Peer(peer));
+            }
+            let peer = self.wait_for_peer();
+            let admission = self.admission()?;
+            let (pool, prompt) = (Arc::clone(&self.pool), self.prompt());
+            let since = Instant::now();
+            let target = tokio::select! {
+                permit = pool.acquire_for_prompt(admission, prompt) => permit.map(Target::Server),
+                peer = peer => Ok(Target::Peer(peer)),
+            };
+            self.log.add_wait(since);
+            match target {
+                // It came under suspicion while it waited.
+                Err(fault) if fault.kind == Kind::RequestSuspected && self.may_be_sent() => {}
+                target => return target.map_err(ForwardError::Fault),
+            }
         }
-        let peer = self.wait_for_peer();
-        let admission = self.admission()?;
-        let (pool, prompt) = (Arc::clone(&self.pool), self.prompt());
-        let since = Instant::now();
-        let target = tokio::select! {
-            permit = pool.acquire_for_prompt(admission, prompt) => permit.map(Target::Server),
-            peer = peer => Ok(Target::Peer(peer)),
-        };
-        self.log.add_wait(since);
-        target.map_err(ForwardError::Fault)
     }
 
     async fn run_at_server(&mut self, permit: Permit) -> Result<AttemptResult, ForwardError> {
@@ -274,11 +283,14 @@
     }
 
     /// Records that the connection of the attempt was lost, and starts a check whether its server crashed.
-    fn record_loss(&self, permit: &Permit) {
+    fn record_loss(&mut self, permit: &Permit) {
         let server = &permit.declared.name;
         let begun = self.log.events() >= BEGUN_BATCHES;
-        self.log
-            .lose(server, begun, &self.admission.identity.shared);
+        self.log.lose(server, begun, &self.admission.identity);
+        self.admission.lost = (!begun).then(|| LostServer {
+            server: server.clone(),
+            at: Instant::now(),
+        });
         if let Some(suspected) = permit.record_loss(begun) {
             let connections = self.context.connections.clone();
             let pool = Arc::clone(permit.pool());
@@ -291,6 +303,7 @@
         let mut admission = self.admission.clone();
         admission.version = self.binding.version().map_err(ForwardError::Fault)?;
         admission.attributes.partial = !self.response.is_unsent();
+        admission.may_try = self.may_try();
         Ok(admission)
     }
 
@@ -431,7 +444,9 @@
             cost: 1,
             partial: false,
         },
-        identity: Arc::new(request.prompt_identity()),
+        identity: Arc::new(request.identity()),
+        may_try: false,
+        lost: None,
         prefix_hash: request.affinity_key(),
         first_token_target: Some(route.latency_target),
         gap_target: route.gap_target,
--- a/crates/router/src/forward/forwarder/peers.rs
+++ b/crates/router/src/forward/forwarder/peers.rs
@@ -1,4 +1,4 @@
-//! Passes a request on to another instance while this one can't send it to a server.
+//! Passes a request on to another instance if this one can't, or isn't to, send it to a server.
 
 use tokio::time::{self, Instant};
 
@@ -17,6 +17,11 @@
         if self.request.forwarded_by.is_some() {
             return None;
         }
+        if let Some(suspect) = self.pool.suspected_request(&self.admission.identity) {
+            let instance = peer::trial_instance(node, suspect);
+            let own = node.membership.own().id;
+            return instance.filter(|r| r.id != own && !self.tried_peers.contains(&r.id));
+        }
         let holders = self.pool.slot_holders();
         if holders.is_none() && !node.isolated.is_own() {
             return None;
@@ -26,7 +31,23 @@
         untried.find(|p| !self.tried_peers.contains(&p.id))
     }
 
-    /// Completes when there is such an instance.
+    /// Whether this instance tries the request if servers crashed under it: all such attempts are made by one instance,
+    /// for itself and for the others.
+    pub(super) fn may_try(&self) -> bool {
+        let node = &self.context.node;
+        let suspect = self.pool.suspected_request(&self.admission.identity);
+        let instance = suspect.and_then(|id| peer::trial_instance(node, id));
+        let own = node.membership.own().id;
+        self.request.forwarded_by.is_some() || instance.is_some_and(|r| r.id == own)
+    }
+
+    /// Whether the request may be sent to a server, by this instance or another one, perhaps later.
+    pub(super) fn may_be_sent(&self) -> bool {
+        let suspect = self.pool.suspected_request(&self.admission.identity);
+        suspect.is_none() || self.may_try() || self.next_peer().is_some()
+    }
+
+    /// Completes when there is another instance that the request is passed on to.
     pub(super) async fn wait_for_peer(&self) -> InstanceRecord {
         if self.request.forwarded_by.is_some() {
             return std::future::pending().await;
--- a/crates/router/src/forward/forwarder/responses.rs
+++ b/crates/router/src/forward/forwarder/responses.rs
@@ -109,6 +109,9 @@
         response.release();
         if let Some(permit) = permit {
             permit.record_completion(1);
+            if status.is_success() {
+                permit.record_sound();
+            }
         }
         self.response.finish().await?;
         Ok(AttemptResult::Done(status))
--- a/crates/router/src/forward/mod.rs
+++ b/crates/router/src/forward/mod.rs
@@ -11,6 +11,7 @@
 pub mod config_snapshot;
 pub mod connection_pool;
 pub mod crash;
+pub mod fingerprint;
 pub mod forwarder;
 pub mod isolation;
 pub mod origin;
--- a/crates/router/src/forward/peer.rs
+++ b/crates/router/src/forward/peer.rs
@@ -1,5 +1,5 @@
-//! Passes requests on to other instances while this one is cut off from all backend servers, or has no part of their
-//! slots.
+//! Passes requests on to other instances while this one is cut off from all backend servers, has no part of their
+//! slots, or isn't the one that tries a request under which servers crashed.
 //!
 //! A peer gets the request on its address for callers, as the caller sent it, and treats it as its own: it
 //! authenticates, queues, limits and retries it. It never passes it on again.
@@ -17,6 +17,7 @@
 use super::request::{EventId, ForwardedBy, Request};
 use crate::error::{Fault, Kind};
 use crate::fleet::membership::{InstanceId, InstanceRecord};
+use crate::load::quarantine::SuspectId;
 use crate::node::Node;
 use crate::rendezvous;
 
@@ -52,8 +53,7 @@
         } else {
             Kind::Overloaded
         };
-        let message =
-            "this instance reaches no backend server, and another one refuses the request";
+        let message = "another instance, to which the request was passed on, refuses it";
         Fault::new(kind, message).retry_after(self.retry_after)
     }
 }
@@ -82,6 +82,25 @@
     select(peers, &request.id)
 }
 
+/// The only instance that tries a request under which servers crashed: the first in rendezvous order of those that reach
+/// backend servers. `None` if there is none.
+#[must_use]
+pub fn trial_instance(node: &Node, suspect: SuspectId) -> Option<InstanceRecord> {
+    let own = node.membership.own().id;
+    let reaches_servers = |r: &InstanceRecord| {
+        let isolated = if r.id == own {
+            node.isolated.is_own()
+        } else {
+            node.isolated.contains(r)
+        };
+        !isolated
+    };
+    let alive = node.membership.alive().into_iter();
+    alive
+        .filter(reaches_servers)
+        .max_by_key(|r| rendezvous::weight(suspect, &r.id))
+}
+
 /// Selects from the peers that reach backend servers. Rendezvous hashing by the request's id spreads the requests of
 /// all isolated instances over all of them.
 #[must_use]
--- a/crates/router/src/forward/request.rs
+++ b/crates/router/src/forward/request.rs
@@ -9,7 +9,7 @@
 
 use super::route::Route;
 use crate::config::object::Level;
-use crate::load::quarantine::PromptIdentity;
+use crate::load::quarantine::{RequestIdentity, SuspectId};
 
 /// The id of an event in an event stream; ids increase along the stream.
 pub type EventId = u64;
@@ -69,6 +69,8 @@
     pub headers: HeaderMap,
     /// The request body; empty if there is none.
     pub body: Bytes,
+    /// What the request has in common with its repeats only.
+    pub fingerprint: SuspectId,
     /// The prompt; empty if the request isn't for a model.
     pub prompt: Prompt,
     /// The last event that the caller already has, if it resumes a stream.
@@ -103,13 +105,14 @@
         self.shared().iter().map(|s| s.tokens).sum()
     }
 
-    /// The identity of the prompt, as far as it may crash a server.
+    /// The identity of the request, as far as it may crash a server.
     #[must_use]
-    pub fn prompt_identity(&self) -> PromptIdentity {
+    pub fn identity(&self) -> RequestIdentity {
         let own = self.prompt.segments.last().map(|s| s.id);
-        PromptIdentity {
+        RequestIdentity {
             shared: self.shared().iter().map(|s| s.id).collect(),
             prompt: own.unwrap_or_default(),
+            request: Some(self.fingerprint),
         }
     }
 
--- a/crates/router/src/load/mod.rs
+++ b/crates/router/src/load/mod.rs
@@ -5,6 +5,7 @@
 pub mod arrival_rates;
 pub mod brittleness;
 pub mod budget;
+pub mod crash_evidence;
 pub mod demand;
 pub mod fleet_demand;
 pub mod isolation;
--- a/crates/router/src/load/pool.rs
+++ b/crates/router/src/load/pool.rs
@@ -21,11 +21,11 @@
 use crate::load::admission_floors::{AdmissionFloors, FloorKind};
 use crate::load::arrival_rates::ArrivalRates;
 use crate::load::brittleness::Brittleness;
+use crate::load::crash_evidence::CrashEvidence;
 use crate::load::demand::Demand;
 use crate::load::fleet_demand::{ClassSummary, FleetDemand};
 use crate::load::partition::Partition;
 use crate::load::prompt_placement::Prompt;
-use crate::load::quarantine::Quarantine;
 use crate::load::queue::{EntryId, Queue};
 pub use crate::load::server::ServerId;
 use crate::load::server::{Declaration, LoadReport, Server};
@@ -40,9 +40,10 @@
 mod prompts;
 mod rate_limits;
 mod state;
+mod suspects;
 mod versions;
 
-pub use admission::{AdmissionRequest, Directive, Limits, Preemption, Stats};
+pub use admission::{AdmissionRequest, Directive, Limits, LostServer, Preemption, Stats};
 pub use crashes::SuspectedCrash;
 pub use permit::Permit;
 
@@ -119,7 +120,7 @@
             announcements: BTreeSet::new(),
             brittleness: Brittleness::default(),
             shares_assigned: false,
-            quarantine: Quarantine::new(Instant::now()),
+            evidence: CrashEvidence::new(Instant::now()),
             losses: HashMap::new(),
             partitioned: None,
             retry_tokens: RETRY_TOKENS_INITIAL,
@@ -185,7 +186,8 @@
     /// # Errors
     /// `overloaded` if the request is below the evict floor, is evicted or reaches its longest
     /// wait; `no_backend_server` if it reaches its longest wait while no server is available;
-    /// `prompt_quarantined` if its prompt crashes servers.
+    /// `prompt_quarantined` or `request_quarantined` if it crashes servers, `request_suspected` if it may and another
+    /// instance is to try it.
     pub async fn acquire(self: &Arc<Self>, admission: AdmissionRequest) -> Result<Permit, Fault> {
         self.acquire_for_prompt(admission, Prompt::default()).await
     }
@@ -200,7 +202,7 @@
         mut admission: AdmissionRequest,
         prompt: Prompt,
     ) -> Result<Permit, Fault> {
-        self.wait_for_suspect(&admission).await?;
+        let trial = self.wait_for_suspect(&admission).await?;
         if admission.version.is_some() {
             return self.acquire_for_version(&admission, prompt).await;
         }
@@ -226,6 +228,7 @@
                 Waiter {
                     admission,
                     prompt,
+                    trial,
                     reply,
                 },
             )
@@ -348,7 +351,7 @@
             servers: state.servers.len(),
             available: state.servers.values().filter(|s| s.available(now)).count(),
             limited: state.servers.values().filter(|s| s.is_limited()).count(),
-            quarantined: state.quarantine.len(),
+            quarantined: state.evidence.quarantined(),
         }
     }
 
--- a/crates/router/src/load/pool/admission.rs
+++ b/crates/router/src/load/pool/admission.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use smol_str::SmolStr;
+use tokio::time::Instant;
 
 use super::ServerId;
-use crate::load::quarantine::PromptIdentity;
+use crate::load::quarantine::RequestIdentity;
 use crate::load::queue::RequestAttributes;
 
 /// A request for a permit.
@@ -27,8 +28,12 @@
     pub starvation_bound: Duration,
     /// Longest time in the queue, after which the request is rejected.
     pub max_wait: Duration,
-    /// Identity of the prompt; empty if the prompt has no segments that others have too.
-    pub identity: Arc<PromptIdentity>,
+    /// Identity of the request, as far as it may crash a server.
+    pub identity: Arc<RequestIdentity>,
+    /// Whether this instance tries the request if it may crash a server; otherwise another one does.
+    pub may_try: bool,
+    /// The server that was lost under the request's last attempt, before the response had gone past its beginning.
+    pub lost: Option<LostServer>,
     /// The software version that a server must have to take the request; `None` for any.
     pub version: Option<SmolStr>,
     /// Servers that have failed this request; they are used only if no other has capacity.
@@ -37,6 +42,15 @@
     pub prefer: Option<ServerId>,
 }
 
+/// A server to which the connection of a request was lost.
+#[derive(Clone, Debug)]
+pub struct LostServer {
+    /// The server's name.
+    pub server: SmolStr,
+    /// When the connection was lost.
+    pub at: Instant,
+}
+
 /// Instruction of the pool to a request that holds a permit. Later variants take precedence.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Directive {
--- a/crates/router/src/load/pool/crashes.rs
+++ b/crates/router/src/load/pool/crashes.rs
@@ -1,32 +1,31 @@
-//! Crashes of a pool's servers, and the prompts that are kept from them because of these.
+//! Crashes of a pool's servers: lost connections, and what instances tell each other.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use log::Level as LogLevel;
 use smol_str::SmolStr;
 use tokio::time::Instant;
 
 use super::state::State;
-use super::{AdmissionRequest, GrantId, Pool};
-use crate::error::{Fault, Kind};
+use super::{GrantId, Pool};
 use crate::event::Line;
-use crate::load::quarantine::{
-    Notice, PromptIdentity, QUARANTINE_TIME, QuarantineChange, QuarantinedSegment, SegmentId,
-    Standing,
-};
-
-/// Time between two checks whether another prompt with a suspected segment is still open.
-const CHECK_INTERVAL: Duration = Duration::from_millis(20);
-/// Retry delay advised for a prompt that had to wait for another one with the same suspected segment.
-const RETRY_AFTER: Duration = Duration::from_millis(500);
+use crate::load::crash_evidence::CrashNotices;
+use crate::load::quarantine::{QuarantineChange, RequestIdentity, Subject, SuspectId};
 
 /// Connections to a server that were lost, of which it isn't known yet whether the server crashed.
 #[derive(Debug)]
 pub(super) struct Loss {
     at: Instant,
-    /// The prompts whose responses had not gone past their beginning.
-    open: Vec<PromptIdentity>,
+    /// The requests whose responses had not gone past their beginning.
+    open: Vec<RequestIdentity>,
+}
+
+impl Loss {
+    /// Whether this request, or a repeat of it, was open.
+    pub(super) fn concerns(&self, identity: &RequestIdentity) -> bool {
+        let known = identity.request.is_some();
+        known && self.open.iter().any(|i| i.request == identity.request)
+    }
 }
 
 /// A server to which a connection was lost, to be checked for a crash.
@@ -61,7 +60,7 @@
             at: now,
             open: Vec::new(),
         });
-        if !begun && !grant.identity.shared.is_empty() {
+        if !begun && !grant.identity.is_unknown() {
             loss.open.push(grant.identity.as_ref().clone());
         }
         new.then_some(SuspectedCrash {
@@ -79,7 +78,7 @@
         };
         if crashed {
             state
-                .quarantine
+                .evidence
                 .record_crash(server, loss.at, &loss.open, now);
             self.log_crash_changes(&mut state, "own");
         }
@@ -89,13 +88,13 @@
     pub(super) fn record_sound(&self, grant: GrantId) {
         let mut state = self.lock();
         let State {
-            grants, quarantine, ..
+            grants, evidence, ..
         } = &mut *state;
         let Some(grant) = grants.get_mut(grant) else {
             return;
         };
         grant.sound = true;
-        quarantine.record_sound(&grant.identity.shared, Instant::now());
+        evidence.record_sound(&grant.identity, Instant::now());
         self.log_crash_changes(&mut state, "own");
     }
 
@@ -107,162 +106,88 @@
         let State {
             grants,
             servers,
-            quarantine,
+            evidence,
             ..
         } = &mut *state;
         let Some(grant) = grants.get_mut(grant) else {
             return;
         };
         if let Some(server) = servers.get(grant.server) {
-            quarantine.record_response(server.name(), now);
+            evidence.record_response(server.name(), now);
         }
         if sound && !std::mem::replace(&mut grant.sound, true) {
-            quarantine.record_sound(&grant.identity.shared, now);
+            evidence.record_sound(&grant.identity, now);
         }
         self.log_crash_changes(&mut state, "own");
     }
 
-    /// Records what another instance knows of crashes and segments.
-    pub fn merge_crashes(self: &Arc<Self>, notices: &[Notice]) {
-        let now = Instant::now();
+    /// Records what another instance knows of crashes and their suspects.
+    pub fn merge_crashes(self: &Arc<Self>, notices: &CrashNotices) {
         let mut state = self.lock();
-        for notice in notices {
-            state.quarantine.merge(notice, now);
-        }
+        state.evidence.merge(notices, Instant::now());
         self.log_crash_changes(&mut state, "peer");
     }
 
-    /// Takes the notices on crashes and segments that are due to be sent to the other instances.
+    /// Takes the notices on crashes and their suspects that are due to be sent to the other instances.
     #[must_use]
-    pub fn take_crash_notices(&self) -> Vec<Notice> {
-        self.lock().quarantine.take_notices()
+    pub fn take_crash_notices(&self) -> CrashNotices {
+        self.lock().evidence.take_notices()
     }
 
-    /// All that is known of crashes and segments, for an instance that has just been linked.
+    /// All that is known of crashes and their suspects, for an instance that has just been linked.
     #[must_use]
-    pub fn crash_notices(&self) -> Vec<Notice> {
-        self.lock().quarantine.all_notices(Instant::now())
+    pub fn crash_notices(&self) -> CrashNotices {
+        self.lock().evidence.all_notices(Instant::now())
     }
 
-    /// Waits while another prompt with the same suspected segment is open at this instance.
-    ///
-    /// # Errors
-    /// `prompt_quarantined` if a segment is in quarantine, `overloaded` if the wait takes too long.
-    pub(super) async fn wait_for_suspect(&self, admission: &AdmissionRequest) -> Result<(), Fault> {
-        if admission.identity.shared.is_empty() {
-            return Ok(());
-        }
-        let deadline = Instant::now() + admission.max_wait;
-        loop {
-            let now = Instant::now();
-            {
-                let state = self.lock();
-                match state.quarantine.standing(&admission.identity.shared, now) {
-                    Standing::Unsuspected => return Ok(()),
-                    Standing::Suspected(segment) if !state.has_open(segment) => return Ok(()),
-                    Standing::Suspected(_) => {}
-                    Standing::Quarantined(quarantined) => {
-                        self.metrics.count("shed.quarantine");
-                        return Err(quarantine_fault(quarantined));
-                    }
-                }
-            }
-            if now >= deadline {
-                let message = "another prompt with a segment that may crash servers is open";
-                return Err(Fault::new(Kind::Overloaded, message).retry_after(RETRY_AFTER));
+    pub(super) fn log_crash_changes(&self, state: &mut State, source: &'static str) {
+        for (subject, change) in state.evidence.take_changes() {
+            let (counter, line) = describe(subject, change);
+            // Both quarantines learn of a crash.
+            if let Some(counter) = counter {
+                self.metrics.count(counter);
             }
-            tokio::time::sleep(CHECK_INTERVAL).await;
-        }
-    }
-
-    /// Rejects the waiting requests whose prompts have a segment in quarantine.
-    pub(super) fn expel_quarantined(
-        &self,
-        state: &mut State,
-        now: Instant,
-        replies: &mut Vec<super::PendingReply>,
-    ) {
-        state.quarantine.update(now);
-        self.log_crash_changes(state, "own");
-        if state.quarantine.is_empty() {
-            return;
-        }
-        let expelled: Vec<_> = state
-            .queue
-            .items()
-            .filter_map(|(id, waiter)| {
-                let segments = &waiter.admission.identity.shared;
-                match state.quarantine.standing(segments, now) {
-                    Standing::Quarantined(quarantined) => Some((id, quarantined)),
-                    Standing::Unsuspected | Standing::Suspected(_) => None,
-                }
-            })
-            .collect();
-        for (id, quarantined) in expelled {
-            if let Some(dequeued) = state.queue.remove(id) {
-                self.metrics.count("shed.quarantine");
-                replies.push((dequeued.item.reply, Err(quarantine_fault(quarantined))));
-            }
-        }
-    }
-
-    fn log_crash_changes(&self, state: &mut State, source: &'static str) {
-        for change in state.quarantine.take_changes() {
-            let (counter, line) = match change {
-                QuarantineChange::Crash(server, suspects) => (
-                    "crash.reported",
-                    Line::new("server.crash")
-                        .field("server", server)
-                        .field("state", "reported")
-                        .field("suspects", suspects),
-                ),
-                QuarantineChange::Refuted(server) => (
-                    "crash.refuted",
-                    Line::new("server.crash")
-                        .field("server", server)
-                        .field("state", "refuted"),
-                ),
-                QuarantineChange::Begun(segment, crashes) => (
-                    "quarantine.begun",
-                    Line::new("prompt.quarantine")
-                        .field("segment", format!("{segment:x}"))
-                        .field("state", "begun")
-                        .field("crashes", crashes),
-                ),
-                QuarantineChange::Ended(segment) => (
-                    "quarantine.ended",
-                    Line::new("prompt.quarantine")
-                        .field("segment", format!("{segment:x}"))
-                        .field("state", "ended"),
-                ),
-            };
-            self.metrics.count(counter);
             line.field("source", source).write(LogLevel::Warn);
         }
     }
 }
 
-impl State {
-    /// Whether this instance has sent or queued a prompt with this segment whose response isn't past its
-    /// beginning.
-    fn has_open(&self, segment: SegmentId) -> bool {
-        let mut sent = self.grants.values().filter(|g| !g.sound);
-        let mut waiting = self.queue.items();
-        sent.any(|g| g.identity.shared.contains(&segment))
-            || waiting.any(|(_, w)| w.admission.identity.shared.contains(&segment))
+/// The counter and the log line of a change.
+fn describe(subject: Subject, change: QuarantineChange) -> (Option<&'static str>, Line) {
+    let counted = |counter| (subject == Subject::Requests).then_some(counter);
+    match change {
+        QuarantineChange::Crash(server, suspects) => (
+            counted("crash.reported"),
+            Line::new("server.crash")
+                .field("server", server)
+                .field("state", "reported")
+                .field("of", subject.as_str())
+                .field("suspects", suspects),
+        ),
+        QuarantineChange::Refuted(server) => (
+            counted("crash.refuted"),
+            Line::new("server.crash")
+                .field("server", server)
+                .field("state", "refuted")
+                .field("of", subject.as_str()),
+        ),
+        QuarantineChange::Begun(id, crashes) => (
+            Some("quarantine.begun"),
+            verdict_line(subject, id)
+                .field("state", "begun")
+                .field("crashes", crashes),
+        ),
+        QuarantineChange::Ended(id) => (
+            Some("quarantine.ended"),
+            verdict_line(subject, id).field("state", "ended"),
+        ),
     }
 }
 
-fn quarantine_fault(quarantined: QuarantinedSegment) -> Fault {
-    let QuarantinedSegment {
-        segment,
-        crashes,
-        age,
-    } = quarantined;
-    let message = format!(
-        "the prompt segment {segment:x} is in quarantine for {} s: {crashes} backend servers crashed under it",
-        age.as_secs()
-    );
-    let left = QUARANTINE_TIME.saturating_sub(age);
-    Fault::new(Kind::PromptQuarantined, message).retry_after(left)
+fn verdict_line(subject: Subject, id: SuspectId) -> Line {
+    let id = format!("{id:x}");
+    match subject {
+        Subject::Segments => Line::new("prompt.quarantine").field("segment", id),
+        Subject::Requests => Line::new("request.quarantine").field("request", id),
+    }
 }
--- a/crates/router/src/load/pool/periodic.rs
+++ b/crates/router/src/load/pool/periodic.rs
@@ -24,7 +24,7 @@
             state.detect_pause(now);
             state.update_floors(now, self.limits.queue_bytes);
             self.update_shares(&mut state, now);
-            self.expel_quarantined(&mut state, now, &mut replies);
+            self.expel_suspects(&mut state, now, &mut replies);
             self.evict(&mut state, now, &mut replies);
             self.expire(&mut state, now, &mut replies);
             let preempted = state.preempt(now);
--- a/crates/router/src/load/pool/state.rs
+++ b/crates/router/src/load/pool/state.rs
@@ -18,12 +18,13 @@
 use crate::load::admission_floors::AdmissionFloors;
 use crate::load::arrival_rates::ArrivalRates;
 use crate::load::brittleness::Brittleness;
+use crate::load::crash_evidence::CrashEvidence;
 use crate::load::demand::Demand;
 use crate::load::fleet_demand::FleetDemand;
 use crate::load::partition::Partition;
 use crate::load::placement::{Choice, Criteria};
 use crate::load::prompt_placement::{Prompt, PromptRequest};
-use crate::load::quarantine::{PromptIdentity, Quarantine};
+use crate::load::quarantine::RequestIdentity;
 use crate::load::queue::{EntryId, Queue, RequestAttributes};
 use crate::load::rate_limit::{Members, Statement};
 use crate::load::server::Server;
@@ -45,6 +46,8 @@
 pub(super) struct Waiter {
     pub(super) admission: AdmissionRequest,
     pub(super) prompt: Prompt,
+    /// Whether it is known that the request may crash a server, and it is tried nevertheless.
+    pub(super) trial: bool,
     pub(super) reply: oneshot::Sender<Result<Permit, Fault>>,
 }
 
@@ -68,7 +71,7 @@
     /// Prompt tokens that the server has to prefill for it.
     pub(super) uncached: u32,
     pub(super) guard: bool,
-    pub(super) identity: Arc<PromptIdentity>,
+    pub(super) identity: Arc<RequestIdentity>,
     /// Whether the response has gone past its beginning.
     pub(super) sound: bool,
     pub(super) sent: Instant,
@@ -118,8 +121,8 @@
     pub(super) brittleness: Brittleness,
     /// Whether this instance has parts of the servers' slots because they are brittle.
     pub(super) shares_assigned: bool,
-    /// Crashes of servers, and the prompt segments that cause them.
-    pub(super) quarantine: Quarantine,
+    /// Crashes of servers, and the prompt segments and requests that cause them.
+    pub(super) evidence: CrashEvidence,
     /// Lost connections of which it isn't known yet whether the server crashed, by its name.
     pub(super) losses: HashMap<SmolStr, Loss>,
     /// When the partition was last adapted to the demand.
--- a/crates/router/src/load/pools.rs
+++ b/crates/router/src/load/pools.rs
@@ -11,6 +11,7 @@
 use crate::config::catalogue::Catalogue;
 use crate::config::object::{BackendServer, Level};
 use crate::load::admission_floors::FloorKind;
+use crate::load::crash_evidence::CrashNotices;
 use crate::load::fleet_demand::ClassSummary;
 use crate::load::pool::{Limits, Pool, Preemption, ServerId};
 use crate::load::quarantine;
@@ -45,7 +46,7 @@
     /// Number of calls of [`Self::next_demand`].
     demand_turn: AtomicUsize,
     /// What peers said of crashes in pools that this instance doesn't know yet.
-    early_crashes: Mutex<HashMap<SmolStr, Vec<quarantine::Notice>>>,
+    early_crashes: Mutex<HashMap<SmolStr, CrashNotices>>,
 }
 
 /// Demand for one pool, as exchanged between instances.
@@ -87,9 +88,12 @@
     /// Name of the pool.
     #[serde(rename = "p")]
     pub pool: SmolStr,
-    /// What is known.
+    /// What is known of prompt segments.
     #[serde(rename = "n")]
-    pub notices: Vec<quarantine::Notice>,
+    pub segments: Vec<quarantine::Notice>,
+    /// What is known of requests; older builds neither send nor read it.
+    #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
+    pub requests: Vec<quarantine::Notice>,
 }
 
 impl Pools {
@@ -234,41 +238,50 @@
         self.collect_crashes(Pool::crash_notices)
     }
 
-    fn collect_crashes(
-        &self,
-        notices: impl Fn(&Pool) -> Vec<quarantine::Notice>,
-    ) -> Vec<PoolCrashes> {
-        let pools = self.all();
-        let collected = pools.iter().map(|pool| PoolCrashes {
-            pool: pool.name().clone(),
-            notices: notices(pool),
-        });
-        collected.filter(|p| !p.notices.is_empty()).collect()
+    fn collect_crashes(&self, notices: impl Fn(&Pool) -> CrashNotices) -> Vec<PoolCrashes> {
+        let mut collected = Vec::new();
+        for pool in self.all() {
+            let notices = notices(&pool);
+            if !notices.is_empty() {
+                collected.push(PoolCrashes {
+                    pool: pool.name().clone(),
+                    segments: notices.segments,
+                    requests: notices.requests,
+                });
+            }
+        }
+        collected
     }
 
-    /// Takes into account what a peer knows of crashes. An instance that has just started may learn of them
-    /// before it knows the pool.
-    pub fn merge_crashes(&self, peer: &[PoolCrashes]) {
-        for PoolCrashes { pool, notices } in peer {
-            match self.get(pool) {
-                Some(pool) => pool.merge_crashes(notices),
+    /// Takes into account what a peer, or the platform's store, knows of crashes. An instance that has just started
+    /// may learn of them before it knows the pool.
+    pub fn merge_crashes(&self, known: Vec<PoolCrashes>) {
+        for PoolCrashes {
+            pool,
+            segments,
+            requests,
+        } in known
+        {
+            let notices = CrashNotices { segments, requests };
+            match self.get(&pool) {
+                Some(pool) => pool.merge_crashes(&notices),
                 None => self.keep_early(pool, notices),
             }
         }
     }
 
-    fn keep_early(&self, pool: &SmolStr, notices: &[quarantine::Notice]) {
+    fn keep_early(&self, pool: SmolStr, notices: CrashNotices) {
         let mut early = self.lock_early();
-        if early.len() >= MAX_EARLY_POOLS && !early.contains_key(pool) {
+        if early.len() >= MAX_EARLY_POOLS && !early.contains_key(&pool) {
             log::warn!("pool={pool} crashes=dropped reason=\"too many unknown pools\"");
             return;
         }
-        let kept = early.entry(pool.clone()).or_default();
-        let room = MAX_EARLY_NOTICES.saturating_sub(kept.len());
-        kept.extend(notices.iter().take(room).cloned());
+        let kept = early.entry(pool).or_default();
+        extend(&mut kept.segments, notices.segments);
+        extend(&mut kept.requests, notices.requests);
     }
 
-    fn lock_early(&self) -> MutexGuard<'_, HashMap<SmolStr, Vec<quarantine::Notice>>> {
+    fn lock_early(&self) -> MutexGuard<'_, HashMap<SmolStr, CrashNotices>> {
         let early = self.early_crashes.lock();
         early.unwrap_or_else(PoisonError::into_inner)
     }
@@ -349,3 +362,9 @@
         self.by_name.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Adds as many notices as there is room for.
+fn extend(kept: &mut Vec<quarantine::Notice>, notices: Vec<quarantine::Notice>) {
+    let room = MAX_EARLY_NOTICES.saturating_sub(kept.len());
+    kept.extend(notices.into_iter().take(room));
+}
--- a/crates/router/src/load/quarantine.rs
+++ b/crates/router/src/load/quarantine.rs
@@ -1,9 +1,9 @@
-//! Quarantine of prompt segments that crash backend servers.
+//! Quarantine of prompt segments, or of requests, that crash backend servers.
 //!
-//! A segment is put into quarantine when servers keep crashing while prompts with it begin to be answered. The
-//! evidence is that of all instances: each reports the crashes that it sees with the segments that could be the
-//! cause. A segment is sound, and no suspect any more, once a response to a prompt with it went on past its
-//! beginning, at any instance.
+//! A suspect is put into quarantine when servers keep crashing while requests with it begin to be answered. The
+//! evidence is that of all instances: each reports the crashes that it sees with the suspects that could be the
+//! cause. A suspect is sound, and none any more, once a response to a request with it went on past its beginning, at
+//! any instance.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
@@ -11,76 +11,121 @@
 use smol_str::SmolStr;
 use tokio::time::Instant;
 
+mod conviction;
 mod crash;
 mod notice;
-mod sound_segments;
+mod sound_suspects;
 
 pub use notice::{Notice, Suspect};
 
 use crash::{Crash, MAX_SUSPECTS, Suspects};
-use sound_segments::SoundSegments;
+use sound_suspects::SoundSuspects;
 
-/// Identifies the content of a prompt segment.
-pub type SegmentId = u64;
+/// Identifies what may crash servers: the content of a prompt segment, or a request.
+pub type SuspectId = u64;
 /// Identifies a prompt by its last segment, which is its own.
 pub type PromptId = u64;
 
-/// Crashes after which a segment is suspected: only one prompt with it at a time is sent by each instance.
+/// Crashes after which a suspect is to be tried with care.
 const SUSPECTING_CRASHES: usize = 2;
-/// Crashes after which a segment goes into quarantine.
-const CONVICTING_CRASHES: usize = 4;
-/// Different prompts with the segment that must have been open at these crashes. Retries of a sound prompt may
-/// meet several crashes.
-const CONVICTING_PROMPTS: usize = 3;
-/// The same if there was one more crash.
-const CONVICTING_PROMPTS_LATER: usize = 2;
-/// One of this many crashes, since the first with the segment, must have it among the suspects. There may be
-/// several such segments, and crashes with other causes.
-const CRASHES_PER_SUSPICION: usize = 3;
-/// Time for the other instances to say that a server didn't crash, or that a segment is sound.
+/// Time for the other instances to say that a server didn't crash, or that a suspect is sound.
 const OBJECTION_TIME: Duration = Duration::from_millis(300);
 /// Time for which a crash is remembered.
 const CRASH_RETENTION: Duration = Duration::from_mins(2);
 /// A response of the server that comes this long after its reported crash refutes it.
 const REFUTATION_MARGIN: Duration = Duration::from_millis(100);
-/// Time between two announcements that a segment is sound.
+/// Time between two announcements that a suspect is sound.
 const SOUND_REPEAT: Duration = Duration::from_secs(10);
-/// Time after which a segment in quarantine is tried again with single prompts. One more crash renews it.
+/// Time after which a suspect in quarantine is tried again with single requests. One more crash renews it.
 pub const QUARANTINE_TIME: Duration = Duration::from_hours(1);
 /// Maximum number of crashes that are remembered.
 const MAX_CRASHES: usize = 64;
-/// Maximum number of segments in quarantine; the oldest is released for a new one.
+/// Maximum number of suspects in quarantine; the oldest is released for a new one.
 const MAX_QUARANTINED: usize = 256;
 
-/// The identity of a prompt, as far as it may crash a server.
+/// What is suspected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Subject {
+    /// Segments that prompts have in common.
+    Segments,
+    /// Requests that come again.
+    Requests,
+}
+
+impl Subject {
+    /// The name used in logs.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Segments => "segments",
+            Self::Requests => "requests",
+        }
+    }
+}
+
+/// The identity of a request, as far as it may crash a server.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct PromptIdentity {
+pub struct RequestIdentity {
     /// The segments that other prompts may have in common with it.
-    pub shared: Vec<SegmentId>,
-    /// Tells it apart from other prompts.
+    pub shared: Vec<SuspectId>,
+    /// Tells its prompt apart from others.
     pub prompt: PromptId,
+    /// What it has in common with its repeats only; `None` if that isn't known.
+    pub request: Option<SuspectId>,
 }
 
-/// A segment in quarantine.
+impl RequestIdentity {
+    /// What of it can be suspected.
+    #[must_use]
+    pub const fn suspects(&self, subject: Subject) -> &[SuspectId] {
+        match subject {
+            Subject::Segments => self.shared.as_slice(),
+            Subject::Requests => self.request.as_slice(),
+        }
+    }
+
+    /// Whether nothing of it can be suspected.
+    #[must_use]
+    pub const fn is_unknown(&self) -> bool {
+        self.shared.is_empty() && self.request.is_none()
+    }
+}
+
+/// A suspect in quarantine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct QuarantinedSegment {
-    /// The segment.
-    pub segment: SegmentId,
+pub struct Quarantined {
+    /// What it is.
+    pub subject: Subject,
+    /// Identifies it.
+    pub id: SuspectId,
     /// The number of crashes on which this is based.
     pub crashes: u32,
     /// Time since it was put into quarantine.
     pub age: Duration,
 }
 
-/// What is known of the segments of a prompt.
+/// A suspect that is to be tried with care.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Suspicion {
+    /// What it is.
+    pub subject: Subject,
+    /// Identifies it.
+    pub id: SuspectId,
+    /// The number of crashes that it may have caused.
+    pub crashes: usize,
+    /// When this instance learned of the last of them; `None` if the suspect is tried again after its quarantine.
+    pub last: Option<Instant>,
+}
+
+/// What is known of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Standing {
     /// Nothing speaks against it.
     Unsuspected,
-    /// Servers crashed under prompts with this segment: only one prompt with it is to be sent at a time.
-    Suspected(SegmentId),
-    /// A segment of it is in quarantine.
-    Quarantined(QuarantinedSegment),
+    /// Servers crashed under requests with this suspect.
+    Suspected(Suspicion),
+    /// Its suspect is in quarantine.
+    Quarantined(Quarantined),
 }
 
 /// A change of what is known, for the log.
@@ -90,10 +135,10 @@
     Crash(SmolStr, usize),
     /// A reported crash is refuted.
     Refuted(SmolStr),
-    /// A segment was put into quarantine after this many crashes.
-    Begun(SegmentId, u32),
-    /// A segment was released from quarantine, as it is sound.
-    Ended(SegmentId),
+    /// A suspect was put into quarantine after this many crashes.
+    Begun(SuspectId, u32),
+    /// A suspect was released from quarantine, as it is sound.
+    Ended(SuspectId),
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -103,21 +148,22 @@
 }
 
 impl Verdict {
-    /// Whether the segment is to be tried again with single prompts.
+    /// Whether the suspect is to be tried again with single requests.
     fn is_due(&self, now: Instant) -> bool {
         now.saturating_duration_since(self.since) >= QUARANTINE_TIME
     }
 }
 
-/// Evidence of crashes, and the segments in quarantine, as known to one instance.
+/// Evidence of crashes, and the suspects in quarantine, as known to one instance.
 #[derive(Debug)]
 pub struct Quarantine {
+    subject: Subject,
     /// In the order in which this instance learned of them.
     crashes: Vec<Crash>,
-    sound: SoundSegments,
-    /// When it was last announced, by any instance, that a suspected segment is sound.
-    announced: HashMap<SegmentId, Instant>,
-    verdicts: HashMap<SegmentId, Verdict>,
+    sound: SoundSuspects,
+    /// When it was last announced, by any instance, that a suspect is sound.
+    announced: HashMap<SuspectId, Instant>,
+    verdicts: HashMap<SuspectId, Verdict>,
     notices: Vec<Notice>,
     changes: Vec<QuarantineChange>,
 }
@@ -125,10 +171,11 @@
 impl Quarantine {
     /// Creates the state without any evidence.
     #[must_use]
-    pub fn new(now: Instant) -> Self {
+    pub fn new(subject: Subject, now: Instant) -> Self {
         Self {
+            subject,
             crashes: Vec::new(),
-            sound: SoundSegments::new(now),
+            sound: SoundSuspects::new(now),
             announced: HashMap::new(),
             verdicts: HashMap::new(),
             notices: Vec::new(),
@@ -136,68 +183,94 @@
         }
     }
 
-    /// What is known of a prompt's segments.
+    /// What is known of a request.
     #[must_use]
-    pub fn standing(&self, segments: &[SegmentId], now: Instant) -> Standing {
-        if self.verdicts.is_empty() && self.crashes.is_empty() {
+    pub fn standing(&self, identity: &RequestIdentity, now: Instant) -> Standing {
+        if self.is_clear() {
             return Standing::Unsuspected;
         }
         let mut suspected = None;
-        for &segment in segments {
-            match self.verdicts.get(&segment) {
+        for &id in identity.suspects(self.subject) {
+            match self.verdicts.get(&id) {
                 Some(verdict) if !verdict.is_due(now) => {
-                    return Standing::Quarantined(QuarantinedSegment {
-                        segment,
+                    return Standing::Quarantined(Quarantined {
+                        subject: self.subject,
+                        id,
                         crashes: verdict.crashes,
                         age: now.saturating_duration_since(verdict.since),
                     });
                 }
-                Some(_) => suspected = Some(segment),
-                None if self.suspicions(segment).count() >= SUSPECTING_CRASHES => {
-                    suspected = Some(segment);
-                }
+                Some(_) => suspected = Some(id),
+                None if self.is_suspected(id) => suspected = Some(id),
                 None => {}
             }
         }
-        suspected.map_or(Standing::Unsuspected, Standing::Suspected)
+        suspected.map_or(Standing::Unsuspected, |id| {
+            Standing::Suspected(Suspicion {
+                subject: self.subject,
+                id,
+                crashes: self.suspicions(id).count(),
+                last: self.suspicions(id).map(|c| c.noted).max(),
+            })
+        })
+    }
+
+    /// Whether a suspect that isn't in quarantine is to be tried with care. A request that was the only one open at a
+    /// crash is suspected at once.
+    fn is_suspected(&self, id: SuspectId) -> bool {
+        let alone = |c: &Crash| self.subject == Subject::Requests && c.suspects.len() == 1;
+        self.suspicions(id).count() >= SUSPECTING_CRASHES || self.suspicions(id).any(alone)
     }
 
-    /// Number of segments in quarantine.
+    /// Whether a response to a request with this suspect lately went on past its beginning.
     #[must_use]
-    pub fn len(&self) -> usize {
-        self.verdicts.len()
+    pub fn is_sound(&self, id: SuspectId) -> bool {
+        self.sound.contains(id)
+    }
+
+    /// Whether a crash of the server is known that was about the time `at`.
+    #[must_use]
+    pub fn has_crash(&self, server: &str, at: Instant) -> bool {
+        let mut crashes = self.crashes.iter().filter(|c| !c.refuted);
+        crashes.any(|c| c.is_same(server, at))
     }
 
-    /// Whether no segment is in quarantine.
+    /// Whether no crash is known, and nothing is in quarantine.
     #[must_use]
-    pub fn is_empty(&self) -> bool {
-        self.verdicts.is_empty()
+    pub fn is_clear(&self) -> bool {
+        self.verdicts.is_empty() && self.crashes.is_empty()
     }
 
-    /// Records a crash that this instance saw. `open` are the prompts that were open at the server and whose
+    /// Number of suspects in quarantine.
+    #[must_use]
+    pub fn quarantined(&self) -> usize {
+        self.verdicts.len()
+    }
+
+    /// Records a crash that this instance saw. `open` are the requests that were open at the server and whose
     /// responses had not gone past their beginning.
     pub fn record_crash(
         &mut self,
         server: &SmolStr,
         at: Instant,
-        open: &[PromptIdentity],
+        open: &[RequestIdentity],
         now: Instant,
     ) {
         let mut suspects: Suspects = BTreeMap::new();
-        for prompt in open {
-            for &segment in &prompt.shared {
-                suspects.entry(segment).or_default().insert(prompt.prompt);
+        for identity in open {
+            for &id in identity.suspects(self.subject) {
+                suspects.entry(id).or_default().insert(identity.prompt);
             }
         }
-        suspects.retain(|segment, _| !self.sound.contains(*segment));
+        suspects.retain(|id, _| !self.sound.contains(*id));
         self.add_crash(server, at, suspects, now);
     }
 
-    /// Records that a response to a prompt with these segments went on past its beginning.
-    pub fn record_sound(&mut self, segments: &[SegmentId], now: Instant) {
-        let new = segments.iter().copied();
-        let new: Vec<SegmentId> = new.filter(|s| self.sound.insert(*s, now)).collect();
-        let cleared: Vec<SegmentId> = new.into_iter().filter(|s| self.clear(*s)).collect();
+    /// Records that the response to a request went on past its beginning.
+    pub fn record_sound(&mut self, identity: &RequestIdentity, now: Instant) {
+        let new = identity.suspects(self.subject).iter().copied();
+        let new: Vec<SuspectId> = new.filter(|s| self.sound.insert(*s, now)).collect();
+        let cleared: Vec<SuspectId> = new.into_iter().filter(|s| self.clear(*s)).collect();
         self.announce_sound(cleared, now);
     }
 
@@ -227,17 +300,17 @@
                 age_ms,
                 suspects,
             } => {
-                let mut by_segment = BTreeMap::new();
+                let mut by_id = BTreeMap::new();
                 let mut sound = Vec::new();
                 for suspect in suspects.iter().take(MAX_SUSPECTS) {
-                    if self.sound.contains(suspect.segment) {
-                        sound.push(suspect.segment);
+                    if self.sound.contains(suspect.id) {
+                        sound.push(suspect.id);
                     } else {
                         let prompts = suspect.prompts.iter().copied().collect();
-                        by_segment.insert(suspect.segment, prompts);
+                        by_id.insert(suspect.id, prompts);
                     }
                 }
-                self.add_crash(server, earlier(now, *age_ms), by_segment, now);
+                self.add_crash(server, earlier(now, *age_ms), by_id, now);
                 self.announce_sound(sound, now);
             }
             Notice::Refutation { server, age_ms } => {
@@ -249,13 +322,13 @@
                     self.changes.push(QuarantineChange::Refuted(server.clone()));
                 }
             }
-            Notice::Sound(segments) => {
+            Notice::Sound(ids) => {
                 let mut news = Vec::new();
-                for &segment in segments {
-                    let new = self.sound.insert(segment, now);
-                    self.announced.insert(segment, now);
-                    if self.clear(segment) || new {
-                        news.push(segment);
+                for &id in ids {
+                    let new = self.sound.insert(id, now);
+                    self.announced.insert(id, now);
+                    if self.clear(id) || new {
+                        news.push(id);
                     }
                 }
                 if !news.is_empty() {
@@ -263,17 +336,17 @@
                 }
             }
             Notice::Quarantined {
-                segment,
+                id,
                 age_ms,
                 crashes,
             } => {
                 let since = earlier(now, *age_ms);
-                self.convict(*segment, since, *crashes, now);
+                self.convict(*id, since, *crashes, now);
             }
         }
     }
 
-    /// Puts segments into quarantine that enough crashes speak against, and forgets old evidence.
+    /// Puts suspects into quarantine that enough crashes speak against, and forgets old evidence.
     pub fn update(&mut self, now: Instant) {
         if self.crashes.is_empty() {
             return;
@@ -281,14 +354,14 @@
         let age = |at: Instant| now.saturating_duration_since(at);
         self.crashes.retain(|c| age(c.at) < CRASH_RETENTION);
         self.announced.retain(|_, at| age(*at) < SOUND_REPEAT);
-        let segments: BTreeSet<SegmentId> = self
+        let suspects: BTreeSet<SuspectId> = self
             .crashes
             .iter()
             .flat_map(|c| c.suspects.keys().copied())
             .collect();
-        for segment in segments {
-            if let Some(crashes) = self.convicting_crashes(segment, now) {
-                self.convict(segment, now, crashes, now);
+        for id in suspects {
+            if let Some(crashes) = self.convicting_crashes(id, now) {
+                self.convict(id, now, crashes, now);
             }
         }
     }
@@ -308,10 +381,10 @@
     /// All that is known, for an instance that has just been linked.
     #[must_use]
     pub fn all_notices(&self, now: Instant) -> Vec<Notice> {
-        let quarantined = self.verdicts.iter().map(|(segment, verdict)| {
+        let quarantined = self.verdicts.iter().map(|(id, verdict)| {
             let age_ms = millis(now.saturating_duration_since(verdict.since));
             Notice::Quarantined {
-                segment: *segment,
+                id: *id,
                 age_ms,
                 crashes: verdict.crashes,
             }
@@ -322,86 +395,70 @@
             .collect()
     }
 
-    /// The crashes, not refuted, that may have been caused by a segment.
-    fn suspicions(&self, segment: SegmentId) -> impl Iterator<Item = &Crash> {
+    /// The crashes, not refuted, that a suspect may have caused. Those that another one in quarantine explains don't
+    /// count.
+    fn suspicions(&self, id: SuspectId) -> impl Iterator<Item = &Crash> {
+        let known = self.verdicts.contains_key(&id);
         let crashes = self.crashes.iter().filter(|c| !c.refuted);
-        crashes.filter(move |c| c.suspects.contains_key(&segment))
+        crashes.filter(move |c| c.suspects.contains_key(&id) && (known || !c.explained))
     }
 
-    /// The number of crashes that put a segment into quarantine now; `None` if there are too few.
-    fn convicting_crashes(&self, segment: SegmentId, now: Instant) -> Option<u32> {
-        let mature = |c: &&Crash| now.saturating_duration_since(c.noted) >= OBJECTION_TIME;
-        let known = self.verdicts.get(&segment);
-        if known.is_some_and(|verdict| !verdict.is_due(now)) {
-            return None;
-        }
-        let later = |c: &&Crash| known.is_none_or(|v| c.at >= v.since + QUARANTINE_TIME);
-        let against: Vec<&Crash> = self
-            .suspicions(segment)
-            .filter(mature)
-            .filter(later)
-            .collect();
-        let first = against.iter().map(|c| c.at).min()?;
-        let prompts: BTreeSet<PromptId> = against
-            .iter()
-            .flat_map(|c| &c.suspects[&segment])
-            .copied()
-            .collect();
-        let total = self.crashes.iter().filter(|c| !c.refuted && c.at >= first);
-        let total = total.filter(mature).count();
-        let count = against.len();
-        let enough = match prompts.len() {
-            _ if known.is_some() => true,
-            CONVICTING_PROMPTS.. => count >= CONVICTING_CRASHES,
-            CONVICTING_PROMPTS_LATER.. => count > CONVICTING_CRASHES,
-            _ => false,
-        };
-        let convicted = enough && count * CRASHES_PER_SUSPICION >= total;
-        convicted.then(|| u32::try_from(count).unwrap_or(u32::MAX))
-    }
-
-    fn convict(&mut self, segment: SegmentId, since: Instant, crashes: u32, now: Instant) {
-        let known = self.verdicts.get(&segment);
+    fn convict(&mut self, id: SuspectId, since: Instant, crashes: u32, now: Instant) {
+        let known = self.verdicts.get(&id);
         // Of two verdicts the later one counts; instances date the same one a little differently.
         let newer = known.is_none_or(|v| since > v.since + QUARANTINE_TIME);
-        if !newer || self.sound.contains(segment) {
+        if !newer || self.sound.contains(id) {
             return;
         }
         if known.is_none() && self.verdicts.len() >= MAX_QUARANTINED {
             let oldest = self.verdicts.iter().min_by_key(|(_, v)| v.since);
-            if let Some(oldest) = oldest.map(|(segment, _)| *segment) {
+            if let Some(oldest) = oldest.map(|(id, _)| *id) {
                 self.verdicts.remove(&oldest);
             }
         }
-        self.verdicts.insert(segment, Verdict { since, crashes });
+        self.verdicts.insert(id, Verdict { since, crashes });
+        self.explain_crashes();
         self.notices.push(Notice::Quarantined {
-            segment,
+            id,
             age_ms: millis(now.saturating_duration_since(since)),
             crashes,
         });
-        self.changes.push(QuarantineChange::Begun(segment, crashes));
+        self.changes.push(QuarantineChange::Begun(id, crashes));
+    }
+
+    /// Marks the crashes that requests in quarantine explain: others that were open there are no suspects for it.
+    /// Segments come with others by their nature, and are told apart by their prompts.
+    fn explain_crashes(&mut self) {
+        if self.subject == Subject::Segments {
+            return;
+        }
+        for crash in &mut self.crashes {
+            let mut suspects = crash.suspects.keys();
+            crash.explained = suspects.any(|id| self.verdicts.contains_key(id));
+        }
     }
 
-    /// Drops all that speaks against a segment, and returns whether there was anything.
-    fn clear(&mut self, segment: SegmentId) -> bool {
+    /// Drops all that speaks against a suspect, and returns whether there was anything.
+    fn clear(&mut self, id: SuspectId) -> bool {
         let mut suspected = false;
         for crash in &mut self.crashes {
-            suspected |= crash.suspects.remove(&segment).is_some();
+            suspected |= crash.suspects.remove(&id).is_some();
         }
-        let quarantined = self.verdicts.remove(&segment).is_some();
+        let quarantined = self.verdicts.remove(&id).is_some();
         if quarantined {
-            self.changes.push(QuarantineChange::Ended(segment));
+            self.explain_crashes();
+            self.changes.push(QuarantineChange::Ended(id));
         }
         suspected || quarantined
     }
 
-    fn announce_sound(&mut self, mut segments: Vec<SegmentId>, now: Instant) {
-        segments.retain(|s| !self.announced.contains_key(s));
-        if segments.is_empty() {
+    fn announce_sound(&mut self, mut ids: Vec<SuspectId>, now: Instant) {
+        ids.retain(|id| !self.announced.contains_key(id));
+        if ids.is_empty() {
             return;
         }
-        self.announced.extend(segments.iter().map(|s| (*s, now)));
-        self.notices.push(Notice::Sound(segments));
+        self.announced.extend(ids.iter().map(|id| (*id, now)));
+        self.notices.push(Notice::Sound(ids));
     }
 
     /// Adds a crash, or new suspects of a known one, and passes on what is new.
@@ -415,6 +472,7 @@
                 noted: now,
                 suspects: BTreeMap::new(),
                 refuted: false,
+                explained: false,
             });
             self.changes
                 .push(QuarantineChange::Crash(server.clone(), suspects.len()));
@@ -425,6 +483,7 @@
         if known.is_none() || !added.is_empty() {
             let notice = crash.notice(&added, now);
             self.notices.push(notice);
+            self.explain_crashes();
         }
     }
 
--- /dev/null
+++ b/crates/router/src/load/quarantine/conviction.rs
@@ -0,0 +1,102 @@
+//! How much evidence puts a suspect into quarantine.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::crash::Crash;
+use super::{OBJECTION_TIME, PromptId, QUARANTINE_TIME, Quarantine, Subject, SuspectId};
+
+/// Crashes after which a segment goes into quarantine.
+const SEGMENT_CRASHES: usize = 4;
+/// Different prompts with the segment that must have been open at these crashes. Retries of a sound prompt may
+/// meet several crashes.
+const SEGMENT_PROMPTS: usize = 3;
+/// The same if there was one more crash.
+const SEGMENT_PROMPTS_LATER: usize = 2;
+/// One of this many crashes, since the first with the segment, must have it among the suspects. There may be
+/// several such segments, and crashes with other causes.
+const CRASHES_PER_SUSPICION: usize = 3;
+/// Crashes after which a request goes into quarantine if no other one was open at all of them.
+const REQUEST_CRASHES: usize = 3;
+/// The same if it was the only one open at each.
+const LONE_REQUEST_CRASHES: usize = 2;
+
+/// Servers that crash within this time may have one cause in common, such as a loss of power.
+const SAME_TIME: Duration = Duration::from_millis(100);
+
+impl Quarantine {
+    /// The number of crashes that put a suspect into quarantine now; `None` if there are too few.
+    pub(super) fn convicting_crashes(&self, id: SuspectId, now: Instant) -> Option<u32> {
+        let known = self.verdicts.get(&id);
+        if known.is_some_and(|verdict| !verdict.is_due(now)) {
+            return None;
+        }
+        let later = |c: &&Crash| known.is_none_or(|v| c.at >= v.since + QUARANTINE_TIME);
+        let against: Vec<&Crash> = self
+            .suspicions(id)
+            .filter(|c| is_mature(c, now))
+            .filter(later)
+            .collect();
+        let convicted = match self.subject {
+            Subject::Segments => self.convicts_segment(id, &against, now),
+            Subject::Requests if known.is_some() => !against.is_empty(),
+            Subject::Requests => convicts_request(id, &against),
+        };
+        convicted.then(|| u32::try_from(against.len()).unwrap_or(u32::MAX))
+    }
+
+    fn convicts_segment(&self, id: SuspectId, against: &[&Crash], now: Instant) -> bool {
+        let Some(first) = against.iter().map(|c| c.at).min() else {
+            return false;
+        };
+        let prompts: BTreeSet<PromptId> = against
+            .iter()
+            .flat_map(|c| &c.suspects[&id])
+            .copied()
+            .collect();
+        let total = self.crashes.iter().filter(|c| !c.refuted && c.at >= first);
+        let total = total.filter(|c| is_mature(c, now)).count();
+        let count = against.len();
+        let enough = match prompts.len() {
+            _ if self.verdicts.contains_key(&id) => true,
+            SEGMENT_PROMPTS.. => count >= SEGMENT_CRASHES,
+            SEGMENT_PROMPTS_LATER.. => count > SEGMENT_CRASHES,
+            _ => false,
+        };
+        enough && count * CRASHES_PER_SUSPICION >= total
+    }
+}
+
+fn convicts_request(id: SuspectId, against: &[&Crash]) -> bool {
+    let Some(first) = against.first() else {
+        return false;
+    };
+    let alone = against.iter().filter(|c| c.suspects.len() == 1);
+    let mut others = first.suspects.keys().filter(|other| **other != id);
+    let shared = others.any(|other| against.iter().all(|c| c.suspects.contains_key(other)));
+    let apart = count_apart(against.iter().map(|c| c.at));
+    count_apart(alone.map(|c| c.at)) >= LONE_REQUEST_CRASHES
+        || (apart >= REQUEST_CRASHES && !shared)
+}
+
+/// The number of crashes of which none comes at the same time as the one before.
+fn count_apart(times: impl Iterator<Item = Instant>) -> usize {
+    let mut times: Vec<Instant> = times.collect();
+    times.sort_unstable();
+    let mut last = None;
+    let apart = times.into_iter().filter(|at| {
+        let new = last.is_none_or(|last| *at >= last + SAME_TIME);
+        if new {
+            last = Some(*at);
+        }
+        new
+    });
+    apart.count()
+}
+
+/// Whether the other instances have had time to object.
+fn is_mature(crash: &Crash, now: Instant) -> bool {
+    now.saturating_duration_since(crash.noted) >= OBJECTION_TIME
+}
--- a/crates/router/src/load/quarantine/crash.rs
+++ b/crates/router/src/load/quarantine/crash.rs
@@ -1,4 +1,4 @@
-//! One crash of a server, with the segments that may have caused it.
+//! One crash of a server, with what may have caused it.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -7,17 +7,17 @@
 use tokio::time::Instant;
 
 use super::notice::{Notice, Suspect};
-use super::{PromptId, SegmentId, millis};
+use super::{PromptId, SuspectId, millis};
 
 /// Two reports of a crash of one server within this time are about the same crash.
 const SAME_CRASH: Duration = Duration::from_millis(800);
-/// Maximum number of suspected segments of one crash.
+/// Maximum number of suspects of one crash.
 pub(super) const MAX_SUSPECTS: usize = 64;
-/// Maximum number of prompts that are told apart for each suspected segment of one crash.
+/// Maximum number of prompts that are told apart for each suspect of one crash.
 const MAX_PROMPTS: usize = 8;
 
-/// Suspected segments, each with the prompts that were open.
-pub(super) type Suspects = BTreeMap<SegmentId, BTreeSet<PromptId>>;
+/// What may have caused a crash, each with the prompts that were open.
+pub(super) type Suspects = BTreeMap<SuspectId, BTreeSet<PromptId>>;
 
 #[derive(Debug)]
 pub(super) struct Crash {
@@ -27,6 +27,8 @@
     pub(super) noted: Instant,
     pub(super) suspects: Suspects,
     pub(super) refuted: bool,
+    /// Whether a suspect in quarantine is its cause.
+    pub(super) explained: bool,
 }
 
 impl Crash {
@@ -38,14 +40,14 @@
     /// Adds suspects, and returns those that are new.
     pub(super) fn add_suspects(&mut self, suspects: Suspects) -> Suspects {
         let mut added: Suspects = BTreeMap::new();
-        for (segment, prompts) in suspects {
-            if !self.suspects.contains_key(&segment) && self.suspects.len() >= MAX_SUSPECTS {
+        for (id, prompts) in suspects {
+            if !self.suspects.contains_key(&id) && self.suspects.len() >= MAX_SUSPECTS {
                 continue;
             }
-            let known = self.suspects.entry(segment).or_default();
+            let known = self.suspects.entry(id).or_default();
             for prompt in prompts {
                 if known.len() < MAX_PROMPTS && known.insert(prompt) {
-                    added.entry(segment).or_default().insert(prompt);
+                    added.entry(id).or_default().insert(prompt);
                 }
             }
         }
@@ -53,8 +55,8 @@
     }
 
     pub(super) fn notice(&self, suspects: &Suspects, now: Instant) -> Notice {
-        let suspects = suspects.iter().map(|(segment, prompts)| Suspect {
-            segment: *segment,
+        let suspects = suspects.iter().map(|(id, prompts)| Suspect {
+            id: *id,
             prompts: prompts.iter().copied().collect(),
         });
         Notice::Crash {
--- a/crates/router/src/load/quarantine/notice.rs
+++ b/crates/router/src/load/quarantine/notice.rs
@@ -1,22 +1,22 @@
-//! What instances tell each other of crashes and segments.
+//! What instances tell each other of crashes and their suspects.
 
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use super::{PromptId, SegmentId};
+use super::{PromptId, SuspectId};
 
-/// A segment that may have caused a crash.
+/// What may have caused a crash.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Suspect {
-    /// The segment.
+    /// Identifies it.
     #[serde(rename = "s")]
-    pub segment: SegmentId,
+    pub id: SuspectId,
     /// The prompts with it whose responses had not gone past their beginning.
     #[serde(rename = "p")]
     pub prompts: Vec<PromptId>,
 }
 
-/// What instances tell each other of crashes and segments.
+/// What instances tell each other of crashes and their suspects.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Notice {
     /// A server crashed.
@@ -28,7 +28,7 @@
         /// Time since the crash, in ms.
         #[serde(rename = "a")]
         age_ms: u32,
-        /// The segments that may be the cause.
+        /// What may be the cause.
         #[serde(rename = "s")]
         suspects: Vec<Suspect>,
     },
@@ -42,15 +42,15 @@
         #[serde(rename = "a")]
         age_ms: u32,
     },
-    /// Responses to prompts with these segments went on past their beginning.
+    /// Responses to requests with these suspects went on past their beginning.
     #[serde(rename = "o")]
-    Sound(Vec<SegmentId>),
-    /// A segment is in quarantine.
+    Sound(Vec<SuspectId>),
+    /// A suspect is in quarantine.
     #[serde(rename = "q")]
     Quarantined {
-        /// The segment.
+        /// Identifies it.
         #[serde(rename = "s")]
-        segment: SegmentId,
+        id: SuspectId,
         /// Time since it was put into quarantine, in ms.
         #[serde(rename = "a")]
         age_ms: u32,
--- a/crates/router/tests/brittleness.rs
+++ b/crates/router/tests/brittleness.rs
@@ -39,6 +39,8 @@
             partial: false,
         },
         identity: Arc::default(),
+        may_try: true,
+        lost: None,
         prefix_hash: 0,
         first_token_target: None,
         gap_target: None,
--- a/crates/router/tests/frames.rs
+++ b/crates/router/tests/frames.rs
@@ -42,12 +42,12 @@
     vec![
         Frame::Crashes(vec![PoolCrashes {
             pool: "m".into(),
-            notices: vec![
+            segments: vec![
                 quarantine::Notice::Crash {
                     server: "w1@7".into(),
                     age_ms: 40,
                     suspects: vec![Suspect {
-                        segment: u64::MAX,
+                        id: u64::MAX,
                         prompts: vec![1, 2],
                     }],
                 },
@@ -57,11 +57,12 @@
                 },
                 quarantine::Notice::Sound(vec![3, 4]),
                 quarantine::Notice::Quarantined {
-                    segment: 5,
+                    id: 5,
                     age_ms: 9,
                     crashes: 4,
                 },
             ],
+            requests: vec![quarantine::Notice::Sound(vec![7])],
         }]),
         Frame::Isolation(vec![IsolationRecord {
             id: "front-1".into(),
@@ -270,16 +271,17 @@
 #[test]
 fn frames_on_servers_in_trouble_are_small() {
     let suspects = (0..10).map(|n| Suspect {
-        segment: u64::MAX - n,
+        id: u64::MAX - n,
         prompts: vec![u64::MAX - n],
     });
     let crash = Frame::Crashes(vec![PoolCrashes {
         pool: "jackdaw-pool".into(),
-        notices: vec![quarantine::Notice::Crash {
+        segments: vec![quarantine::Notice::Crash {
             server: "i-7f3a91c2aa@1764846000000".into(),
             age_ms: 340,
             suspects: suspects.collect(),
         }],
+        requests: Vec::new(),
     }]);
     let isolation = Frame::Isolation(vec![IsolationRecord {
         id: "front-hall-ganado-1".into(),
--- a/crates/router/tests/pool.rs
+++ b/crates/router/tests/pool.rs
@@ -53,6 +53,8 @@
             partial: false,
         },
         identity: Arc::default(),
+        may_try: true,
+        lost: None,
         prefix_hash: 0,
         first_token_target: Some(Duration::from_millis(400)),
         gap_target: None,
--- a/crates/router/tests/versions.rs
+++ b/crates/router/tests/versions.rs
@@ -50,6 +50,8 @@
             partial: false,
         },
         identity: Arc::default(),
+        may_try: true,
+        lost: None,
         prefix_hash: 0,
         first_token_target: None,
         gap_target: None,
--- a/crates/standins/tests/rate_limits.rs
+++ b/crates/standins/tests/rate_limits.rs
@@ -116,6 +116,8 @@
             partial: false,
         },
         identity: Arc::default(),
+        may_try: true,
+        lost: None,
         prefix_hash,
         first_token_target: Some(MAX_WAIT),
         gap_target: None,
