Report a crash only after a new connection to another server

What callers saw (in a test): an instance whose new connections are refused while old ones live on loses a connection for another reason, and refuses sound repeats of that request as suspected. It was the open point of docs/decisions/0010.

Cause: bytes of any server, also on an old connection, counted as a sign that the instance isn't cut off. Change: only a connection that was opened since the loss does, to a server of any pool, so that the check isn't held up where all servers of a service are down. Before: the repeats got `request_suspected`; now 502 for what was reset, and nothing is reported. Each loss that is checked opens one connection, which is kept for requests.

--- a/crates/router/src/forward/connection_pool.rs
+++ b/crates/router/src/forward/connection_pool.rs
@@ -190,12 +190,6 @@
         }
     }
 
-    /// When bytes of any server were last received; `None` before the first.
-    #[must_use]
-    pub fn last_contact(&self) -> Option<Instant> {
-        self.activity().contact
-    }
-
     /// What the connections show of the links to all servers.
     #[must_use]
     pub fn signs(&self) -> Signs {
--- a/crates/router/src/forward/forwarder.rs
+++ b/crates/router/src/forward/forwarder.rs
@@ -293,8 +293,9 @@
         });
         if let Some(suspected) = permit.record_loss(begun) {
             let connections = self.context.connections.clone();
+            let node = Arc::clone(&self.context.node);
             let pool = Arc::clone(permit.pool());
-            tokio::spawn(crash::check(connections, pool, suspected));
+            tokio::spawn(crash::check(connections, node, pool, suspected));
         }
     }
 
