Keep what is in quarantine in the platform's store

Cause: instances knew it from each other only. Ruled out: keeping each crash (writes grow with crashes).

With a store in memory: written when the store is back, read at the start, removed at the end.

Conclusion: a list at each start and two writes for each quarantine; single crashes before it are still forgotten.

--- a/crates/router/src/fleet/mod.rs
+++ b/crates/router/src/fleet/mod.rs
@@ -11,5 +11,6 @@
 pub mod membership;
 pub mod origin;
 pub mod stream_origins;
+pub mod verdict_store;
 
 pub use links::{desired_links, is_watcher};
--- a/crates/router/src/load/crash_evidence.rs
+++ b/crates/router/src/load/crash_evidence.rs
@@ -5,7 +5,8 @@
 use tokio::time::Instant;
 
 use crate::load::quarantine::{
-    Notice, Quarantine, QuarantineChange, RequestIdentity, Standing, Subject, SuspectId,
+    Notice, Quarantine, QuarantineChange, Quarantined, RequestIdentity, Standing, Subject,
+    SuspectId,
 };
 
 /// What instances tell each other of the crashes of one pool's servers.
@@ -84,10 +85,10 @@
         self.requests.has_crash(server, at)
     }
 
-    /// Number of segments and requests in quarantine.
-    #[must_use]
-    pub fn quarantined(&self) -> usize {
-        self.segments.quarantined() + self.requests.quarantined()
+    /// The segments and requests in quarantine.
+    pub fn quarantined(&self, now: Instant) -> impl Iterator<Item = Quarantined> {
+        let requests = self.requests.quarantined(now);
+        self.segments.quarantined(now).chain(requests)
     }
 
     /// Records a crash that this instance saw. `open` are the requests that were open at the server and whose
--- a/crates/router/src/load/pool.rs
+++ b/crates/router/src/load/pool.rs
@@ -351,7 +351,7 @@
             servers: state.servers.len(),
             available: state.servers.values().filter(|s| s.available(now)).count(),
             limited: state.servers.values().filter(|s| s.is_limited()).count(),
-            quarantined: state.evidence.quarantined(),
+            quarantined: state.evidence.quarantined(now).count(),
         }
     }
 
--- a/crates/router/src/load/pool/suspects.rs
+++ b/crates/router/src/load/pool/suspects.rs
@@ -40,6 +40,13 @@
         state.evidence.suspected_request(identity, Instant::now())
     }
 
+    /// The segments and requests in quarantine.
+    #[must_use]
+    pub fn quarantined(&self) -> Vec<Quarantined> {
+        let state = self.lock();
+        state.evidence.quarantined(Instant::now()).collect()
+    }
+
     /// Waits until a request may be tried if it may crash a server, and returns whether it may.
     ///
     /// # Errors
--- a/crates/router/src/load/quarantine.rs
+++ b/crates/router/src/load/quarantine.rs
@@ -44,7 +44,7 @@
 const MAX_QUARANTINED: usize = 256;
 
 /// What is suspected.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Subject {
     /// Segments that prompts have in common.
     Segments,
@@ -241,10 +241,15 @@
         self.verdicts.is_empty() && self.crashes.is_empty()
     }
 
-    /// Number of suspects in quarantine.
-    #[must_use]
-    pub fn quarantined(&self) -> usize {
-        self.verdicts.len()
+    /// The suspects in quarantine.
+    pub fn quarantined(&self, now: Instant) -> impl Iterator<Item = Quarantined> {
+        let verdicts = self.verdicts.iter();
+        verdicts.map(move |(id, verdict)| Quarantined {
+            subject: self.subject,
+            id: *id,
+            crashes: verdict.crashes,
+            age: now.saturating_duration_since(verdict.since),
+        })
     }
 
     /// Records a crash that this instance saw. `open` are the requests that were open at the server and whose
--- /dev/null
+++ b/crates/router/tests/verdict_store.rs
@@ -0,0 +1,137 @@
+//! What is in quarantine is kept in a store that may be away.
+
+mod common;
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use jackdawtally::fleet::verdict_store::{self, Verdict, VerdictKey, VerdictStore};
+use jackdawtally::node::Node;
+use jackdawtally::pools::PoolCrashes;
+use jackdawtally::quarantine::{Notice, Subject};
+use jackdawtally::settings::Settings;
+
+/// Time in which an instance compares its verdicts with the store several times.
+const SOME_TIME: Duration = Duration::from_secs(10);
+const SUSPECT: u64 = 7;
+
+/// A store in memory that may refuse all calls.
+#[derive(Default)]
+struct MemoryStore {
+    verdicts: Mutex<BTreeMap<VerdictKey, Verdict>>,
+    away: Mutex<bool>,
+}
+
+impl MemoryStore {
+    fn verdicts(&self) -> Result<MutexGuard<'_, BTreeMap<VerdictKey, Verdict>>, &'static str> {
+        if *self.away.lock().expect("the mutex is not poisoned") {
+            return Err("away");
+        }
+        Ok(self.verdicts.lock().expect("the mutex is not poisoned"))
+    }
+
+    fn set_away(&self, away: bool) {
+        *self.away.lock().expect("the mutex is not poisoned") = away;
+    }
+
+    fn count(&self) -> usize {
+        let verdicts = self.verdicts.lock();
+        verdicts.expect("the mutex is not poisoned").len()
+    }
+}
+
+impl VerdictStore for MemoryStore {
+    type Error = &'static str;
+
+    async fn list(&self) -> Result<Vec<Verdict>, Self::Error> {
+        Ok(self.verdicts()?.values().cloned().collect())
+    }
+
+    async fn put(&self, verdict: &Verdict) -> Result<(), Self::Error> {
+        let verdict = verdict.clone();
+        self.verdicts()?.insert(verdict.key.clone(), verdict);
+        Ok(())
+    }
+
+    async fn remove(&self, key: &VerdictKey) -> Result<(), Self::Error> {
+        self.verdicts()?.remove(key);
+        Ok(())
+    }
+}
+
+fn node() -> Arc<Node> {
+    let text = "instance = \"a\"\ndata_centre = \"north\"\n\
+                [callers]\nlisten = \"127.0.0.1:0\"\n\
+                [operators]\nlisten = \"127.0.0.1:0\"\ntoken_hashes = {}\n\
+                [peers]\nlisten = \"127.0.0.1:0\"\nfleet_key = \"0123456789abcdef\"\n\
+                [platform]\naddress = \"127.0.0.1:1\"\n";
+    let settings = Settings::parse("f.toml", text).expect("the settings are valid");
+    let node = Node::new(settings, common::instance_record("a", "north"));
+    node.pools.update_pool(&node.metrics, &"s".into(), &[]);
+    node
+}
+
+/// Starts an instance that keeps its verdicts in `store`.
+fn start(store: &Arc<MemoryStore>) -> Arc<Node> {
+    let node = node();
+    tokio::spawn(verdict_store::run(Arc::clone(&node), Arc::clone(store)));
+    node
+}
+
+fn tell(node: &Node, notice: Notice) {
+    node.pools.merge_crashes(vec![PoolCrashes {
+        pool: "s".into(),
+        segments: Vec::new(),
+        requests: vec![notice],
+    }]);
+}
+
+fn quarantine() -> Notice {
+    Notice::Quarantined {
+        id: SUSPECT,
+        age_ms: 1_000,
+        crashes: 3,
+    }
+}
+
+fn subjects(node: &Node) -> Vec<Subject> {
+    let pool = node.pools.get("s").expect("the pool exists");
+    let quarantined = pool.quarantined();
+    quarantined.iter().map(|q| q.subject).collect()
+}
+
+/// After a restart of all instances nothing was in quarantine; the store was away when it began.
+#[tokio::test(start_paused = true)]
+async fn quarantine_is_written_when_the_store_is_back_and_read_at_the_start() {
+    let store = Arc::new(MemoryStore::default());
+    let node = start(&store);
+    tokio::time::sleep(SOME_TIME).await;
+    store.set_away(true);
+    tell(&node, quarantine());
+    tokio::time::sleep(SOME_TIME).await;
+    let while_away = store.count();
+    store.set_away(false);
+    tokio::time::sleep(SOME_TIME).await;
+
+    let started = start(&store);
+    tokio::time::sleep(SOME_TIME).await;
+
+    assert_eq!((while_away, store.count()), (0, 1));
+    assert_eq!(subjects(&started), [Subject::Requests]);
+}
+
+/// A quarantine that had ended would have come back with the next start.
+#[tokio::test(start_paused = true)]
+async fn quarantine_that_ends_is_removed_from_the_store() {
+    let store = Arc::new(MemoryStore::default());
+    let node = start(&store);
+    tell(&node, quarantine());
+    tokio::time::sleep(SOME_TIME).await;
+    let written = store.count();
+
+    tell(&node, Notice::Sound(vec![SUSPECT]));
+    tokio::time::sleep(SOME_TIME).await;
+
+    assert_eq!((written, store.count()), (1, 0));
+}
