--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod network;
 pub mod platform;
 pub mod rate_check;
+pub mod refusal_check;
 pub mod report;
 pub mod round_robin;
 pub mod simulated_server;
