Send servers that ask for rest nothing until its end

Cause: the delay in a server's refusal wasn't read, and a server that refuses is nearly empty and so first choice. Class of fault: a statement of a server that no gate knows. Ruled out: attempts of a certain kind that pass a gate over (first attempts most of all were late), and an early end (there were no other responses).

Change: the pool keeps the end of each rest by the server's name, and `Server::accepts` asks it (docs/decisions/0014). With all servers at rest, a request is refused at once with what is left.

--- a/crates/router/src/forward/attempt.rs
+++ b/crates/router/src/forward/attempt.rs
@@ -8,11 +8,15 @@
 use super::backend_protocol::{AttemptMetadata, BackendProtocol, RateStatement, ResponseClass};
 use super::connection_pool::{self, BackendResponse, ConnectionPool};
 use super::request::{EventId, Request};
+use super::retry_after::RestStatement;
 use crate::load::pool::Permit;
 
 /// Part of the caller's remaining time that is kept for passing the response back to it.
 pub(super) const RETURN_MARGIN: Duration = Duration::from_millis(5);
 
+/// Rest that a server is given if it asks for an unreadable time.
+const UNREADABLE_REST: Duration = Duration::from_secs(1);
+
 /// Why an attempt failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Failure {
@@ -104,6 +108,7 @@
     if matches!(class, ResponseClass::Answered | ResponseClass::NotRun) {
         let brittle = protocol.is_brittle(&response.head.headers);
         permit.record_brittleness(brittle, class == ResponseClass::NotRun);
+        record_rest(permit, protocol.rest(&response.head), &request.id);
     }
     match class {
         ResponseClass::Answered => Ok(response),
@@ -137,6 +142,20 @@
     }
 }
 
+/// Records for how long the server wants no requests of this instance. One that states an unreadable time rests for a
+/// while, as it asks for something.
+fn record_rest(permit: &Permit, rest: RestStatement, id: &str) {
+    match rest {
+        RestStatement::Unstated => {}
+        RestStatement::Rest(rest) => permit.record_rest(rest, id),
+        RestStatement::Unreadable => {
+            let server = &permit.declared.name;
+            log::warn!("server={server} rest=unreadable id={id}");
+            permit.record_rest(UNREADABLE_REST, id);
+        }
+    }
+}
+
 fn build_request<P: BackendProtocol>(
     protocol: &P,
     request: &Request,
--- a/crates/router/src/forward/backend_protocol.rs
+++ b/crates/router/src/forward/backend_protocol.rs
@@ -6,6 +6,7 @@
 use http::response;
 
 use super::request::{EventId, ForwardedBy, Request};
+use super::retry_after::RestStatement;
 use crate::config::object::{BackendServer, Level};
 use crate::load::rate_limit::Rate;
 use crate::load::server::LoadReport;
@@ -80,6 +81,9 @@
     /// requests.
     fn is_brittle(&self, headers: &HeaderMap) -> bool;
 
+    /// Returns for how long the server wants no requests of this instance, according to the head of a response.
+    fn rest(&self, head: &response::Parts) -> RestStatement;
+
     /// Returns what the header fields of a response say of the server's rate limit.
     fn rate_limit(&self, headers: &HeaderMap) -> RateStatement;
 }
--- a/crates/router/src/forward/forwarder.rs
+++ b/crates/router/src/forward/forwarder.rs
@@ -242,7 +242,7 @@
             let allowed = unsent < MAX_UNSENT_ATTEMPTS && self.may_retry(failure);
             self.log.fail_attempt(failure, allowed);
             if !allowed {
-                return Err(ForwardError::Fault(Self::fault(failure)));
+                return Err(ForwardError::Fault(self.fault(failure)));
             }
         }
     }
@@ -391,12 +391,13 @@
             .with_budget(self.service, |b| b.try_spend(limits, instances, now))
     }
 
-    fn fault(failure: Failure) -> Fault {
+    fn fault(&self, failure: Failure) -> Fault {
+        let retry_after = self.pool.rest_left().unwrap_or(RETRY_AFTER);
         let reason = failure.as_str();
         match failure {
             failure if !failure.is_certainly_not_run() => Fault::new(Kind::OutcomeUnknown, reason),
             Failure::NotRun => Fault::new(Kind::Overloaded, "all backend servers are at capacity")
-                .retry_after(RETRY_AFTER),
+                .retry_after(retry_after),
             _ => Fault::new(Kind::NoBackendServer, reason).retry_after(RETRY_AFTER),
         }
     }
--- a/crates/router/src/forward/mod.rs
+++ b/crates/router/src/forward/mod.rs
@@ -17,4 +17,5 @@
 pub mod origin;
 pub mod peer;
 pub mod request;
+pub mod retry_after;
 pub mod route;
--- a/crates/router/src/forward/peer.rs
+++ b/crates/router/src/forward/peer.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 
 use http::StatusCode;
-use http::header::RETRY_AFTER;
 use http_body_util::Full;
 use tokio::time::Instant;
 
@@ -15,6 +14,7 @@
 use super::backend_protocol::{BackendProtocol, ForwardMetadata, ResponseClass};
 use super::connection_pool::{self, BackendResponse, ConnectionPool};
 use super::request::{EventId, ForwardedBy, Request};
+use super::retry_after::{self, RestStatement};
 use crate::error::{Fault, Kind};
 use crate::fleet::membership::{InstanceId, InstanceRecord};
 use crate::load::quarantine::SuspectId;
@@ -152,16 +152,12 @@
             failure: Failure::Refused,
             refusal: Some(Refusal {
                 elsewhere: response.head.status == StatusCode::SERVICE_UNAVAILABLE,
-                retry_after: retry_after(&response).unwrap_or(DEFAULT_RETRY_AFTER),
+                retry_after: match retry_after::parse(&response.head.headers) {
+                    RestStatement::Rest(delay) => delay,
+                    RestStatement::Unstated | RestStatement::Unreadable => DEFAULT_RETRY_AFTER,
+                },
             }),
         }),
         ResponseClass::Foreign => Err(Failure::Foreign.into()),
     }
 }
-
-/// The delay, in seconds with fractions, after which the peer advises to retry.
-fn retry_after(response: &BackendResponse) -> Option<Duration> {
-    let value = response.head.headers.get(RETRY_AFTER)?;
-    let seconds: f64 = value.to_str().ok()?.trim().parse().ok()?;
-    Duration::try_from_secs_f64(seconds).ok()
-}
--- a/crates/router/src/load/pool.rs
+++ b/crates/router/src/load/pool.rs
@@ -39,6 +39,7 @@
 mod permit;
 mod prompts;
 mod rate_limits;
+mod rests;
 mod state;
 mod suspects;
 mod versions;
@@ -117,6 +118,7 @@
             instances: 1,
             members: Arc::default(),
             undeclared_limits: HashMap::new(),
+            rests: HashMap::new(),
             announcements: BTreeSet::new(),
             brittleness: Brittleness::default(),
             shares_assigned: false,
@@ -216,6 +218,10 @@
                 self.metrics.count("shed.rate_limit");
                 return Err(fault);
             }
+            if let Some(fault) = state.check_rests(&admission, now) {
+                self.metrics.count("shed.rest");
+                return Err(fault);
+            }
             if let Some(fault) = state.check_admission(&admission, now) {
                 self.metrics.count("shed.floor");
                 return Err(fault);
--- a/crates/router/src/load/pool/periodic.rs
+++ b/crates/router/src/load/pool/periodic.rs
@@ -6,6 +6,7 @@
 use tokio::time::Instant;
 
 use super::dispatch::send_replies;
+use super::rests::rest_fault;
 use super::state::State;
 use super::{PendingReply, Pool};
 use crate::config::object::Level;
@@ -82,16 +83,17 @@
             .collect();
         for id in late {
             let reachable = state.servers.values().any(|s| s.available(now));
+            let rest = state.rest_left(now);
             if let Some(Dequeued {
                 attributes, item, ..
             }) = state.queue.remove(id)
             {
                 self.metrics.count("shed.expired");
-                let fault = if reachable {
-                    state.overloaded(&attributes, now)
-                } else {
-                    Fault::new(Kind::NoBackendServer, "no backend server can be reached")
-                        .retry_after(Duration::from_secs(2))
+                let fault = match rest {
+                    Some(left) => rest_fault(left),
+                    None if reachable => state.overloaded(&attributes, now),
+                    None => Fault::new(Kind::NoBackendServer, "no backend server can be reached")
+                        .retry_after(Duration::from_secs(2)),
                 };
                 replies.push((item.reply, Err(fault)));
             }
--- a/crates/router/src/load/pool/permit.rs
+++ b/crates/router/src/load/pool/permit.rs
@@ -99,6 +99,12 @@
         self.pool.record_brittleness(self.grant, brittle, refused);
     }
 
+    /// Records that the server wants no requests of this instance for so long, as it says in the response to the request
+    /// `id`.
+    pub fn record_rest(&self, rest: Duration, id: &str) {
+        self.pool.record_rest(&self.declared.name, rest, id);
+    }
+
     /// Records the mean inter-token gap over a part of the response, in ms. Ignored while or
     /// shortly after this instance itself was paused.
     pub fn record_gap(&self, gap_ms: f64) {
--- a/crates/router/src/load/pool/rate_limits.rs
+++ b/crates/router/src/load/pool/rate_limits.rs
@@ -184,6 +184,7 @@
             server.update_rate_limit(|limit| limit.merge(statement, now), &self.members, now);
         }
         self.servers.insert(server);
+        self.apply_rests();
     }
 
     /// Removes a server. What it said of its limit is kept, as its declaration may come back.
--- a/crates/router/src/load/pool/state.rs
+++ b/crates/router/src/load/pool/state.rs
@@ -115,6 +115,8 @@
     pub(super) members: Arc<Members>,
     /// What was heard of the rate limits of servers that aren't declared yet, or not any more.
     pub(super) undeclared_limits: HashMap<SmolStr, Statement>,
+    /// Until when servers, declared or not, want no requests of this instance, by their names.
+    pub(super) rests: HashMap<SmolStr, Instant>,
     /// Servers whose rate limits are to be announced to the other instances.
     pub(super) announcements: BTreeSet<SmolStr>,
     /// Whether the servers fall over when they refuse too many requests.
--- a/crates/router/src/load/server.rs
+++ b/crates/router/src/load/server.rs
@@ -112,6 +112,8 @@
     rate_limit: Option<RateLimit>,
     /// This instance's part of the slots; `None` if the server isn't brittle.
     slot_share: Option<SlotShare>,
+    /// Until when the server wants no requests of this instance.
+    rest_until: Option<Instant>,
 }
 
 impl Server {
@@ -136,6 +138,7 @@
             connect_failed: None,
             rate_limit: None,
             slot_share: None,
+            rest_until: None,
         }
     }
 
@@ -162,14 +165,27 @@
         closed && !self.leaving(now)
     }
 
-    /// Whether the server takes a new request now: it is available, and its rate limit and, if it is brittle, its
-    /// slots leave room for one of this instance.
+    /// Whether the server takes a new request now: it is available and doesn't rest, and its rate limit and, if it is
+    /// brittle, its slots leave room for one of this instance.
     #[must_use]
     pub fn accepts(&self, now: Instant) -> bool {
         let in_flight = self.in_flight;
         let has_slot = self.slot_share.is_none_or(|s| s.is_open(in_flight, now));
         let limit = self.rate_limit;
-        self.available(now) && has_slot && limit.is_none_or(|limit| limit.is_open(now))
+        let rests = self.rest_until.is_some_and(|until| until > now);
+        let has_rate = limit.is_none_or(|limit| limit.is_open(now));
+        self.available(now) && !rests && has_slot && has_rate
+    }
+
+    /// Until when the server wants no requests of this instance; `None` if it hasn't said so.
+    #[must_use]
+    pub const fn rest_until(&self) -> Option<Instant> {
+        self.rest_until
+    }
+
+    /// Sets the time until which the server wants no requests of this instance.
+    pub const fn set_rest(&mut self, until: Option<Instant>) {
+        self.rest_until = until;
     }
 
     /// This instance's part of the slots; `None` if the server isn't brittle.
--- a/crates/router/tests/brittleness.rs
+++ b/crates/router/tests/brittleness.rs
@@ -8,8 +8,7 @@
 
 use jackdawtally::load::brittleness::{Brittleness, SlotShare};
 use jackdawtally::metrics::Metrics;
-use jackdawtally::pool::{AdmissionRequest, Limits, Pool};
-use jackdawtally::queue::RequestAttributes;
+use jackdawtally::pool::{Limits, Pool};
 use jackdawtally::rate_limit::Members;
 use smol_str::{SmolStr, format_smolstr};
 use tokio::time::Instant;
@@ -27,32 +26,6 @@
     Members::new(own.clone(), all.iter().cloned())
 }
 
-fn admission() -> AdmissionRequest {
-    AdmissionRequest {
-        attributes: RequestAttributes {
-            level: 0,
-            class: "c".into(),
-            organisation: "o".into(),
-            share: 1,
-            bytes: 100,
-            cost: 1,
-            partial: false,
-        },
-        identity: Arc::default(),
-        may_try: true,
-        lost: None,
-        prefix_hash: 0,
-        first_token_target: None,
-        gap_target: None,
-        latency_sensitive: false,
-        starvation_bound: Duration::from_secs(4),
-        max_wait: Duration::from_secs(1),
-        version: None,
-        avoid: Vec::new(),
-        prefer: None,
-    }
-}
-
 /// The pool of one instance, before three servers that have said that they are brittle.
 fn pool(own: &SmolStr, all: &[SmolStr]) -> Arc<Pool> {
     let limits = Limits {
@@ -143,9 +116,11 @@
             for _ in 0..requests {
                 let (pool, open, most) = (Arc::clone(pool), Arc::clone(&open), Arc::clone(&most));
                 tasks.push(tokio::spawn(async move {
-                    let Ok(Ok(permit)) =
-                        tokio::time::timeout(Duration::from_millis(500), pool.acquire(admission()))
-                            .await
+                    let Ok(Ok(permit)) = tokio::time::timeout(
+                        Duration::from_millis(500),
+                        pool.acquire(common::admission()),
+                    )
+                    .await
                     else {
                         return 0;
                     };
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -11,6 +11,8 @@
 use jackdawtally::platform::{
     Condition, Error, ListedInstance, Platform, StoredObject, Version, WatchBatch, WatchedObject,
 };
+use jackdawtally::pool::AdmissionRequest;
+use jackdawtally::queue::RequestAttributes;
 
 /// Simulated outcome of one call to the platform.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -220,3 +222,30 @@
         config: 0,
     }
 }
+
+/// A request of the most important tier that waits for a second at most.
+pub fn admission() -> AdmissionRequest {
+    AdmissionRequest {
+        attributes: RequestAttributes {
+            level: 0,
+            class: "c".into(),
+            organisation: "o".into(),
+            share: 1,
+            bytes: 100,
+            cost: 1,
+            partial: false,
+        },
+        identity: Arc::default(),
+        may_try: true,
+        lost: None,
+        prefix_hash: 0,
+        first_token_target: None,
+        gap_target: None,
+        latency_sensitive: false,
+        starvation_bound: Duration::from_secs(4),
+        max_wait: Duration::from_secs(1),
+        version: None,
+        avoid: Vec::new(),
+        prefer: None,
+    }
+}
