Take it from any response that a server is leaving, for good

Cause: leaving was read from the store and from load reports; a notice of a peer expired after ten seconds, and was lost if the server's entry lapsed meanwhile. Ruled out: a mechanism beside `leaving_servers`, which is widened.

Change: the adapter reads the field in each response that comes from the server itself; the notice goes the way that exists, is kept by the server's name, which holds its start, until a later load report says otherwise, also for entries that come later, and instances that are linked within a minute are told (docs/decisions/0014).

--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -66,6 +66,11 @@
         fields: &["server", "state", "rate", "share", "number", "age_ms", "id"],
         meaning: "the rate limit of a backend server was `named`, `changed` or has `ended`; `rate` is for all instances, `share` this instance's part, both in requests a second; `number` counts the changes; `id` is the request whose response said so, and absent if another instance told this one",
     },
+    EventSpec {
+        name: "server.leaving",
+        fields: &["server"],
+        meaning: "a backend server says in a response, or a load report, that it is leaving; other instances are told",
+    },
     EventSpec {
         name: "server.rest",
         fields: &["server", "rest_ms", "id"],
--- a/crates/router/src/fleet/leaving_servers.rs
+++ b/crates/router/src/fleet/leaving_servers.rs
@@ -4,14 +4,18 @@
 use std::collections::HashMap;
 use std::sync::{Mutex, PoisonError};
 
+use log::Level;
 use smol_str::SmolStr;
 
+use crate::event::Line;
 use crate::fleet::frame::Frame;
 use crate::fleet::links::PeerLinks;
 use crate::load::pools::Pools;
 
 /// Minimum time between two notices about the same server that are processed and forwarded, in ms.
 const DEDUPLICATION_MS: u64 = 3_000;
+/// Time for which a notice is passed on to instances that are linked later, in ms.
+const RETENTION_MS: u64 = 60_000;
 
 /// A notice that a backend server is leaving.
 #[derive(Clone, Copy, Debug)]
@@ -31,6 +35,20 @@
 }
 
 impl LeavingServers {
+    /// The recent notices, for an instance that has just been linked.
+    #[must_use]
+    pub fn frames(&self) -> Vec<Frame> {
+        let noticed_ms = self.noticed_ms.lock();
+        let noticed_ms = noticed_ms.unwrap_or_else(PoisonError::into_inner);
+        let frames = noticed_ms
+            .iter()
+            .map(|(server, at_ms)| Frame::ServerLeaving {
+                server: server.clone(),
+                at_ms: *at_ms,
+            });
+        frames.collect()
+    }
+
     /// Marks the server as leaving in every pool and forwards the notice to all linked peers except
     /// the one that sent it. Ignores a notice within 3 s of the last one for the same server.
     pub fn receive(&self, pools: &Pools, links: &PeerLinks, notice: LeavingNotice<'_>) {
@@ -48,10 +66,14 @@
             if at_ms < last + DEDUPLICATION_MS {
                 return;
             }
+            noticed_ms.retain(|_, noticed| *noticed + RETENTION_MS > at_ms);
             noticed_ms.insert(server.clone(), at_ms);
         }
-        for pool in pools.all() {
-            pool.mark_leaving(server);
+        pools.mark_leaving(server);
+        if from.is_none() {
+            Line::new("server.leaving")
+                .field("server", server)
+                .write(Level::Info);
         }
         let frame = Frame::ServerLeaving {
             server: server.clone(),
--- a/crates/router/src/fleet/link.rs
+++ b/crates/router/src/fleet/link.rs
@@ -299,6 +299,9 @@
         if !crashes.is_empty() {
             self.send(&Frame::Crashes(crashes)).await?;
         }
+        for leaving in self.node.leaving_servers.frames() {
+            self.send(&leaving).await?;
+        }
         let isolated = self.node.isolated.all();
         if !isolated.is_empty() {
             self.send(&Frame::Isolation(isolated)).await?;
--- a/crates/router/src/forward/attempt.rs
+++ b/crates/router/src/forward/attempt.rs
@@ -9,7 +9,9 @@
 use super::connection_pool::{self, BackendResponse, ConnectionPool};
 use super::request::{EventId, Request};
 use super::retry_after::RestStatement;
+use crate::config::changelog;
 use crate::load::pool::Permit;
+use crate::node::Node;
 
 /// Part of the caller's remaining time that is kept for passing the response back to it.
 pub(super) const RETURN_MARGIN: Duration = Duration::from_millis(5);
@@ -75,6 +77,7 @@
 /// # Errors
 /// Returns why the attempt failed; also for a response that doesn't belong to the request.
 pub async fn send<P: BackendProtocol>(
+    node: &Node,
     connections: &ConnectionPool,
     protocol: &P,
     request: &Request,
@@ -109,6 +112,9 @@
         let brittle = protocol.is_brittle(&response.head.headers);
         permit.record_brittleness(brittle, class == ResponseClass::NotRun);
         record_rest(permit, protocol.rest(&response.head), &request.id);
+        if protocol.is_leaving(&response.head.headers) {
+            node.mark_server_leaving(&permit.declared.name, changelog::now_ms(), None);
+        }
     }
     match class {
         ResponseClass::Answered => Ok(response),
--- a/crates/router/src/forward/backend_protocol.rs
+++ b/crates/router/src/forward/backend_protocol.rs
@@ -77,6 +77,9 @@
     /// Returns the load report in the header fields of a response; `None` if there is none.
     fn load_report(&self, headers: &HeaderMap) -> Option<LoadReport>;
 
+    /// Returns whether the header fields of a response say that the server is leaving.
+    fn is_leaving(&self, headers: &HeaderMap) -> bool;
+
     /// Returns whether the header fields of a response say that the server falls over when it has to refuse many
     /// requests.
     fn is_brittle(&self, headers: &HeaderMap) -> bool;
--- a/crates/router/src/forward/forwarder.rs
+++ b/crates/router/src/forward/forwarder.rs
@@ -405,6 +405,7 @@
     async fn run_attempt(&mut self, permit: &Permit) -> Result<AttemptResult, ForwardError> {
         let context = self.context;
         let sent = attempt::send(
+            &context.node,
             &context.connections,
             &context.protocol,
             self.request,
--- a/crates/router/src/load/pool.rs
+++ b/crates/router/src/load/pool.rs
@@ -323,12 +323,11 @@
         self.dispatch_waiting();
     }
 
-    /// Records a peer's notice that the server of that name is leaving.
-    pub fn mark_leaving(&self, server: &str) {
-        let now = Instant::now();
+    /// Records a notice of that time that the server of that name is leaving.
+    pub fn mark_leaving(&self, server: &str, at: Instant) {
         let mut state = self.lock();
         for server in state.servers.values_mut().filter(|s| s.name() == server) {
-            server.mark_leaving(now);
+            server.mark_leaving(at);
         }
     }
 
--- a/crates/router/src/load/pool/crashes.rs
+++ b/crates/router/src/load/pool/crashes.rs
@@ -51,7 +51,7 @@
         } = &mut *state;
         let grant = grants.get(grant)?;
         let server = servers.get(grant.server)?;
-        if server.leaving(now) {
+        if server.leaving() {
             return None;
         }
         let name = server.name().clone();
--- a/crates/router/src/load/pool/rate_limits.rs
+++ b/crates/router/src/load/pool/rate_limits.rs
@@ -247,7 +247,7 @@
         let mut share = 0.0;
         let mut saved = 0.0;
         let mut open = false;
-        let mut servers = self.servers.values().filter(|s| !s.leaving(now)).peekable();
+        let mut servers = self.servers.values().filter(|s| !s.leaving()).peekable();
         servers.peek()?;
         for server in servers {
             let limit = server.rate_limit()?;
--- a/crates/router/src/load/pool/versions.rs
+++ b/crates/router/src/load/pool/versions.rs
@@ -92,7 +92,7 @@
     ) -> Result<Option<Permit>, Fault> {
         let now = Instant::now();
         let mut state = self.lock();
-        if !state.serves_version(admission.version.as_deref(), None, now) {
+        if !state.serves_version(admission.version.as_deref(), None) {
             let message = "no backend server has the version that began the stream";
             return Err(Fault::new(Kind::NoBackendServer, message).retry_after(RETRY_AFTER));
         }
@@ -110,19 +110,14 @@
     #[must_use]
     pub fn serves_version(&self, version: &str, except: Option<ServerId>) -> bool {
         let state = self.lock();
-        state.serves_version(Some(version), except, Instant::now())
+        state.serves_version(Some(version), except)
     }
 }
 
 impl State {
-    fn serves_version(
-        &self,
-        version: Option<&str>,
-        except: Option<ServerId>,
-        now: Instant,
-    ) -> bool {
+    fn serves_version(&self, version: Option<&str>, except: Option<ServerId>) -> bool {
         let fits = |s: &Server| {
-            s.declared.version.as_deref() == version && !s.leaving(now) && !s.is_held_by_others()
+            s.declared.version.as_deref() == version && !s.leaving() && !s.is_held_by_others()
         };
         let mut servers = self.servers.iter();
         servers.any(|(id, server)| fits(server) && Some(id) != except)
--- a/crates/router/src/load/pools.rs
+++ b/crates/router/src/load/pools.rs
@@ -7,6 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
+use tokio::time::Instant;
 
 use crate::config::catalogue::Catalogue;
 use crate::config::object::{BackendServer, Level};
@@ -27,6 +28,11 @@
 /// Maximum number of notices that are kept for each of them.
 const MAX_EARLY_NOTICES: usize = 512;
 
+/// Time for which it is remembered that a server is leaving.
+const LEAVING_RETENTION: Duration = Duration::from_mins(10);
+/// Maximum number of servers of which that is remembered.
+const MAX_LEAVING: usize = 4_096;
+
 /// A server that was added to a pool.
 pub struct NewServer {
     /// The pool that it was added to.
@@ -45,6 +51,8 @@
     by_name: Mutex<HashMap<SmolStr, Arc<Pool>>>,
     /// Number of calls of [`Self::next_demand`].
     demand_turn: AtomicUsize,
+    /// Servers that are known to be leaving, declared or not, with the time of the last notice.
+    leaving: Mutex<HashMap<SmolStr, Instant>>,
     /// What peers said of crashes in pools that this instance doesn't know yet.
     early_crashes: Mutex<HashMap<SmolStr, CrashNotices>>,
 }
@@ -110,6 +118,7 @@
             limits,
             by_name: Mutex::default(),
             demand_turn: AtomicUsize::new(0),
+            leaving: Mutex::default(),
             early_crashes: Mutex::default(),
         }
     }
@@ -166,6 +175,33 @@
         }
     }
 
+    /// Records a notice that a server is leaving. It also holds for a declaration that comes later, unless the servers of
+    /// the pool are polled, and say so themselves.
+    pub fn mark_leaving(&self, server: &SmolStr) {
+        let now = Instant::now();
+        let mut leaving = self.lock_leaving();
+        leaving.retain(|_, at| now.saturating_duration_since(*at) < LEAVING_RETENTION);
+        if leaving.len() < MAX_LEAVING || leaving.contains_key(server) {
+            leaving.insert(server.clone(), now);
+        } else {
+            log::warn!("server={server} leaving=not_kept reason=\"too many servers are leaving\"");
+        }
+        drop(leaving);
+        for pool in self.all() {
+            pool.mark_leaving(server, now);
+        }
+    }
+
+    fn apply_leaving(&self, pool: &Pool) {
+        for (server, at) in self.lock_leaving().iter() {
+            pool.mark_leaving(server, *at);
+        }
+    }
+
+    fn lock_leaving(&self) -> MutexGuard<'_, HashMap<SmolStr, Instant>> {
+        self.leaving.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Sets the instances among which the rate limits of servers are divided.
     pub fn set_members(&self, members: &Arc<Members>) {
         for pool in self.all() {
@@ -322,6 +358,7 @@
     pub fn update_pool(&self, metrics: &Arc<Metrics>, name: &SmolStr, servers: &[&BackendServer]) {
         let pool = self.get_or_create(metrics, name, Preemption::ByServer);
         pool.update_servers(servers, &self.data_centre);
+        self.apply_leaving(&pool);
     }
 
     fn get_or_create(
--- a/crates/router/src/load/server.rs
+++ b/crates/router/src/load/server.rs
@@ -33,8 +33,8 @@
 /// Time after a failed connection for which the server's version is in doubt: another version may have started
 /// under its id, and its entry may be out of date.
 const VERSION_DOUBT: Duration = Duration::from_secs(3);
-/// Time for which a peer's notice that a server is leaving stays valid.
-const PEER_LEAVING_TTL: Duration = Duration::from_secs(10);
+/// Time for which a notice that a server is leaving takes precedence over load reports that don't say so.
+const LEAVING_NOTICE_PRECEDENCE: Duration = Duration::from_secs(10);
 /// Samples of the inter-token gap that are needed to classify a server as a straggler.
 const STRAGGLER_SAMPLES: u32 = 20;
 
@@ -95,7 +95,8 @@
     /// Whether the configuration still declares the server.
     pub declaration: Declaration,
     reported_leaving: bool,
-    peer_leaving_until: Option<Instant>,
+    /// When it was last heard, not by a load report, that this start of the server is leaving.
+    leaving_noticed: Option<Instant>,
     in_flight: u32,
     preemptible: [u32; TRACKED_LEVELS],
     unstarted: [u32; TRACKED_LEVELS],
@@ -125,7 +126,7 @@
             local,
             declaration: Declaration::Current,
             reported_leaving: false,
-            peer_leaving_until: None,
+            leaving_noticed: None,
             in_flight: 0,
             preemptible: [0; TRACKED_LEVELS],
             unstarted: [0; TRACKED_LEVELS],
@@ -162,7 +163,7 @@
             Circuit::Closed => true,
             Circuit::Open { until, .. } => until <= now && self.in_flight == 0,
         };
-        closed && !self.leaving(now)
+        closed && !self.leaving()
     }
 
     /// Whether the server takes a new request now: it is available and doesn't rest, and its rate limit and, if it is
@@ -279,19 +280,17 @@
         changed
     }
 
-    /// Whether the server is leaving according to the configuration, its last load report or a
-    /// peer's notice.
+    /// Whether the server is leaving according to the configuration, its last load report, or a
+    /// notice.
     #[must_use]
-    pub fn leaving(&self, now: Instant) -> bool {
-        let announced =
-            self.reported_leaving || self.peer_leaving_until.is_some_and(|until| until > now);
-        announced || self.declared.leaving
+    pub const fn leaving(&self) -> bool {
+        self.reported_leaving || self.leaving_noticed.is_some() || self.declared.leaving
     }
 
-    /// Records a peer's notice that the server is leaving, which takes precedence over load reports
-    /// that don't say so yet.
-    pub fn mark_leaving(&mut self, now: Instant) {
-        self.peer_leaving_until = Some(now + PEER_LEAVING_TTL);
+    /// Records a notice of that time, from a response or a peer, that the server is leaving. It holds until a later load
+    /// report says otherwise.
+    pub fn mark_leaving(&mut self, at: Instant) {
+        self.leaving_noticed = self.leaving_noticed.max(Some(at));
     }
 
     /// Whether the server generates tokens much more slowly than the others of its pool.
@@ -393,6 +392,11 @@
     /// Replaces the last load report.
     pub fn record_load(&mut self, report: LoadReport, now: Instant) {
         self.reported_leaving = report.leaving;
+        let outdated =
+            |at: &Instant| now.saturating_duration_since(*at) >= LEAVING_NOTICE_PRECEDENCE;
+        if !report.leaving && self.leaving_noticed.as_ref().is_some_and(outdated) {
+            self.leaving_noticed = None;
+        }
         self.last_load = Some(ReceivedLoad {
             report,
             in_flight: self.in_flight,
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -7,12 +7,14 @@
 
 use bytes::Bytes;
 use jackdawtally::membership::{InstanceRecord, InstanceState};
+use jackdawtally::node::Node;
 use jackdawtally::object::{BackendServer, Class, Edit, Object, Organisation, Tier};
 use jackdawtally::platform::{
     Condition, Error, ListedInstance, Platform, StoredObject, Version, WatchBatch, WatchedObject,
 };
 use jackdawtally::pool::AdmissionRequest;
 use jackdawtally::queue::RequestAttributes;
+use jackdawtally::settings::Settings;
 
 /// Simulated outcome of one call to the platform.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -249,3 +251,14 @@
         prefer: None,
     }
 }
+
+/// An instance that isn't started.
+pub fn node() -> Arc<Node> {
+    let text = "instance = \"a\"\ndata_centre = \"north\"\n\
+                [callers]\nlisten = \"127.0.0.1:0\"\n\
+                [operators]\nlisten = \"127.0.0.1:0\"\ntoken_hashes = {}\n\
+                [peers]\nlisten = \"127.0.0.1:0\"\nfleet_key = \"0123456789abcdef\"\n\
+                [platform]\naddress = \"127.0.0.1:1\"\n";
+    let settings = Settings::parse("f.toml", text).expect("the settings are valid");
+    Node::new(settings, instance_record("a", "north"))
+}
--- a/crates/router/tests/verdict_store.rs
+++ b/crates/router/tests/verdict_store.rs
@@ -10,7 +10,6 @@
 use jackdawtally::node::Node;
 use jackdawtally::pools::PoolCrashes;
 use jackdawtally::quarantine::{Notice, Subject};
-use jackdawtally::settings::Settings;
 
 /// Time in which an instance compares its verdicts with the store several times.
 const SOME_TIME: Duration = Duration::from_secs(10);
@@ -60,21 +59,10 @@
     }
 }
 
-fn node() -> Arc<Node> {
-    let text = "instance = \"a\"\ndata_centre = \"north\"\n\
-                [callers]\nlisten = \"127.0.0.1:0\"\n\
-                [operators]\nlisten = \"127.0.0.1:0\"\ntoken_hashes = {}\n\
-                [peers]\nlisten = \"127.0.0.1:0\"\nfleet_key = \"0123456789abcdef\"\n\
-                [platform]\naddress = \"127.0.0.1:1\"\n";
-    let settings = Settings::parse("f.toml", text).expect("the settings are valid");
-    let node = Node::new(settings, common::instance_record("a", "north"));
-    node.pools.update_pool(&node.metrics, &"s".into(), &[]);
-    node
-}
-
 /// Starts an instance that keeps its verdicts in `store`.
 fn start(store: &Arc<MemoryStore>) -> Arc<Node> {
-    let node = node();
+    let node = common::node();
+    node.pools.update_pool(&node.metrics, &"s".into(), &[]);
     tokio::spawn(verdict_store::run(Arc::clone(&node), Arc::clone(store)));
     node
 }
