Avoid servers that send bytes without end

What callers saw (in a test with three instances and two such servers of four): each request that met a body without end took until its timeout, and the next one was sent there too. Cause: a response that doesn't end was no failure of its server; only heads without end were. Change: a body over 32 MiB is taken to have no end: the request is cut, never completed, and the server's circuit opens, as it does for an event without end. Conclusion: bounded by size; a server that trickles without end still lasts until the request's timeout.

--- a/crates/router/src/forward/forwarder/responses.rs
+++ b/crates/router/src/forward/forwarder/responses.rs
@@ -19,6 +19,9 @@
 /// Size limit for buffering a response until it is complete; a larger one is forwarded in chunks.
 const MAX_BUFFERED_BYTES: usize = 256 << 10;
 
+/// Size of a response from which it is taken to have no end.
+const MAX_RESPONSE_BYTES: usize = 32 << 20;
+
 /// A complete response, held in memory.
 pub(super) struct BufferedResponse {
     pub(super) status: StatusCode,
@@ -99,11 +102,20 @@
         self.response
             .start_chunked(status, &response.head.headers, received)
             .await?;
+        let cut = |reason| ForwardError::Fault(Fault::new(Kind::AnswerCut, reason));
+        let mut length = received.len();
         loop {
             match response.next_chunk().await {
-                Ok(Some(bytes)) => self.response.send_chunk(&bytes).await?,
+                Ok(Some(bytes)) => {
+                    length += bytes.len();
+                    self.response.send_chunk(&bytes).await?;
+                }
                 Ok(None) => break,
-                Err(_) => return Err(ForwardError::Fault(Fault::new(Kind::AnswerCut, "broken"))),
+                Err(_) => return Err(cut("broken")),
+            }
+            if length > MAX_RESPONSE_BYTES {
+                record_endless(permit);
+                return Err(cut("the response doesn't end"));
             }
         }
         response.release();
@@ -142,6 +154,7 @@
             };
             if let Err(error) = splitter.feed(&bytes) {
                 log::warn!("id={} stream=broken reason=\"{error}\"", self.request.id);
+                record_endless(permit);
                 return Ok(AttemptResult::Failed(Failure::Broken));
             }
             let Some(batch) = splitter.events(self.resume_after) else {
@@ -207,3 +220,10 @@
         }
     }
 }
+
+/// Records that a server sends bytes without end, so that others get the next requests.
+fn record_endless(permit: Option<&Permit>) {
+    if let Some(permit) = permit {
+        permit.record_failure(false);
+    }
+}
