Raise no floors while all servers rest from this instance

What callers saw (in a test): while all servers of a service had asked one instance for rest, its waiting requests made the other instances hold back less important ones, although their servers were free. Cause: the floors follow from waiting alone. Change: none are requested while all servers rest. Conclusion: rest is a matter of one instance and one server.

--- a/crates/router/src/load/pool/state.rs
+++ b/crates/router/src/load/pool/state.rs
@@ -271,9 +271,12 @@
     }
 
     pub(super) fn update_floors(&mut self, now: Instant, queue_bytes: usize) {
+        // Other instances may send to the servers that rest from this one.
+        let rests = self.rest_left(now).is_some();
         let late = self
             .queue
             .flow_fronts()
+            .filter(|_| !rests)
             .filter(|id| self.waited_fraction(*id, now) >= AdmissionFloors::LATE_FRACTION)
             .filter_map(|id| self.queue.get(id).map(|(attributes, _)| attributes.level))
             .min();
@@ -283,7 +286,7 @@
             .update_evict(late.into_iter().chain(full).min(), now);
         let waiting = self.queue.flow_fronts().filter(|id| {
             let since = self.queue.get(*id).map_or(now, |(_, since)| since);
-            now.saturating_duration_since(since) >= AdmissionFloors::HOLD_AFTER
+            !rests && now.saturating_duration_since(since) >= AdmissionFloors::HOLD_AFTER
         });
         let levels =
             waiting.filter_map(|id| self.queue.get(id).map(|(attributes, _)| attributes.level));
--- a/crates/router/tests/rests.rs
+++ b/crates/router/tests/rests.rs
@@ -5,8 +5,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use jackdawtally::admission_floors::FloorKind;
 use jackdawtally::error::Kind;
 use jackdawtally::metrics::Metrics;
+use jackdawtally::object::Level;
 use jackdawtally::pool::{AdmissionRequest, Limits, Permit, Pool};
 use jackdawtally::rate_limit::Rate;
 use tokio::time::{self, Instant};
@@ -184,3 +186,21 @@
 
     assert_eq!(used(&pool).await, NAMES);
 }
+
+/// An instance of which all servers had a rest made the others reject less important requests.
+#[tokio::test(start_paused = true)]
+async fn waiting_for_the_end_of_rests_is_no_overload() {
+    let pool = pool(&["a"]);
+    spawn_ticks(&pool);
+    rest(&pool, "a", REST).await;
+
+    let waiting = pool.acquire(patient(REST * 2));
+    let floors = async {
+        time::sleep(REST.mul_f64(0.9)).await;
+        [FloorKind::Hold, FloorKind::Evict].map(|kind| pool.requested_floor(kind))
+    };
+    let (permit, floors) = tokio::join!(waiting, floors);
+
+    assert!(permit.is_ok());
+    assert_eq!(floors, [Level::MAX; 2]);
+}
