--- a/crates/router/tests/frames.rs
+++ b/crates/router/tests/frames.rs
@@ -274,15 +274,21 @@
         id: u64::MAX - n,
         prompts: vec![u64::MAX - n],
     });
+    let notice = quarantine::Notice::Crash {
+        server: "i-7f3a91c2aa@1764846000000".into(),
+        age_ms: 340,
+        suspects: suspects.collect(),
+    };
     let crash = Frame::Crashes(vec![PoolCrashes {
         pool: "jackdaw-pool".into(),
-        segments: vec![quarantine::Notice::Crash {
-            server: "i-7f3a91c2aa@1764846000000".into(),
-            age_ms: 340,
-            suspects: suspects.collect(),
-        }],
+        segments: vec![notice.clone()],
         requests: Vec::new(),
     }]);
+    let crash_of_both = Frame::Crashes(vec![PoolCrashes {
+        pool: "jackdaw-pool".into(),
+        segments: vec![notice.clone()],
+        requests: vec![notice],
+    }]);
     let isolation = Frame::Isolation(vec![IsolationRecord {
         id: "front-hall-ganado-1".into(),
         incarnation: 1_764_846_000_000,
@@ -294,9 +300,41 @@
         age_ms: 340,
     }]);
 
-    let sizes = [crash, isolation, brittle].map(|f| frame::encode(&f).len());
+    let sizes = [crash, isolation, brittle, crash_of_both].map(|f| frame::encode(&f).len());
+    println!("{sizes:?}");
 
     assert!(sizes[0] <= 320, "{sizes:?}");
     assert!(sizes[1] <= 80, "{sizes:?}");
+    assert!(sizes[3] <= 640, "{sizes:?}");
     assert!(sizes[2] <= 60, "{sizes:?}");
 }
+
+/// What a build without suspected requests knows of a frame on crashes.
+#[derive(serde::Deserialize)]
+enum OlderFrame {
+    Crashes(Vec<OlderCrashes>),
+}
+
+#[derive(serde::Deserialize)]
+struct OlderCrashes {
+    #[serde(rename = "n")]
+    notices: Vec<quarantine::Notice>,
+}
+
+/// A field that an older build doesn't know would have ended the link to it.
+#[test]
+fn older_build_reads_what_it_knows_of_crashes() {
+    let notice = |id| quarantine::Notice::Sound(vec![id]);
+    let frame = Frame::Crashes(vec![PoolCrashes {
+        pool: "m".into(),
+        segments: vec![notice(1)],
+        requests: vec![notice(2)],
+    }]);
+
+    let bytes = frame::encode(&frame);
+    let read: OlderFrame = ciborium::from_reader(&bytes[..]).expect("the frame is readable");
+
+    let OlderFrame::Crashes(pools) = read;
+    assert_eq!(pools.len(), 1);
+    assert_eq!(pools[0].notices, [notice(1)]);
+}
