Write a verdict that was read at the start no more

What was found when reading the code: an instance that starts knows no other one yet, takes itself for the writer, and writes all verdicts that it has just read; 490 instances and 256 verdicts would be 125,000 writes, by reckoning. Change: what was in the store counts as written. Test: two writes before, now one. Conclusion: a start costs one list.

--- a/crates/router/src/fleet/verdict_store.rs
+++ b/crates/router/src/fleet/verdict_store.rs
@@ -1,6 +1,6 @@
 //! Keeps what is in quarantine in a store, so that it outlasts a restart of all instances at once.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Display;
 use std::future::Future;
 use std::sync::Arc;
@@ -74,7 +74,9 @@
 /// What this instance knows of the verdicts in the store.
 #[derive(Default)]
 struct Keeper {
-    /// The verdicts in force at the last comparison, and whether this instance has written them.
+    /// Those that were in the store at the start.
+    stored: BTreeSet<VerdictKey>,
+    /// The verdicts in force at the last comparison, and whether this instance has written or read them.
     known: BTreeMap<VerdictKey, bool>,
     /// Those that have ended, and may still be in the store.
     ended: Vec<VerdictKey>,
@@ -98,6 +100,7 @@
             let age = Duration::from_millis(now_ms.saturating_sub(verdict.since_ms));
             if age < QUARANTINE_TIME {
                 node.pools.merge_crashes(vec![notice(&verdict, age)]);
+                self.stored.insert(verdict.key);
             } else {
                 self.ended.push(verdict.key);
             }
@@ -113,8 +116,10 @@
         let ended = self.known.keys().filter(|key| !current.contains_key(*key));
         self.ended.extend(ended.cloned());
         self.known.retain(|key, _| current.contains_key(key));
+        self.stored.retain(|key| !self.ended.contains(key));
         for (key, verdict) in current {
-            let written = self.known.entry(key.clone()).or_default();
+            let stored = self.stored.contains(&key);
+            let written = self.known.entry(key.clone()).or_insert(stored);
             if *written || !is_writer(node, &key) {
                 continue;
             }
--- a/crates/router/tests/verdict_store.rs
+++ b/crates/router/tests/verdict_store.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -20,6 +21,7 @@
 struct MemoryStore {
     verdicts: Mutex<BTreeMap<VerdictKey, Verdict>>,
     away: Mutex<bool>,
+    writes: AtomicUsize,
 }
 
 impl MemoryStore {
@@ -48,6 +50,7 @@
     }
 
     async fn put(&self, verdict: &Verdict) -> Result<(), Self::Error> {
+        self.writes.fetch_add(1, Ordering::Relaxed);
         let verdict = verdict.clone();
         self.verdicts()?.insert(verdict.key.clone(), verdict);
         Ok(())
@@ -123,3 +126,19 @@
 
     assert_eq!((written, store.count()), (1, 0));
 }
+
+/// Each instance of a fleet that starts would have written all that it had read: it knows no other one yet.
+#[tokio::test(start_paused = true)]
+async fn what_was_read_at_the_start_is_not_written_again() {
+    let store = Arc::new(MemoryStore::default());
+    let node = start(&store);
+    tell(&node, quarantine());
+    tokio::time::sleep(SOME_TIME).await;
+    let before = store.writes.load(Ordering::Relaxed);
+
+    let started = start(&store);
+    tokio::time::sleep(SOME_TIME).await;
+
+    assert_eq!(subjects(&started), [Subject::Requests]);
+    assert_eq!((before, store.writes.load(Ordering::Relaxed)), (1, 1));
+}
