Name what is in quarantine without words of a court

Verdicts, convictions and the like are now quarantines, entries and thresholds, and the modules are named so. No change of logic: compared token by token without comments and identifiers, only the moved files differ by their places. Tests of the store's quarantines and of the layers pass.

--- a/crates/router/src/fleet/mod.rs
+++ b/crates/router/src/fleet/mod.rs
@@ -10,7 +10,7 @@
 pub mod links;
 pub mod membership;
 pub mod origin;
+pub mod quarantine_store;
 pub mod stream_origins;
-pub mod verdict_store;
 
 pub use links::{desired_links, is_watcher};
--- a/crates/router/src/load/pool/crashes.rs
+++ b/crates/router/src/load/pool/crashes.rs
@@ -173,18 +173,18 @@
         ),
         QuarantineChange::Begun(id, crashes) => (
             Some("quarantine.begun"),
-            verdict_line(subject, id)
+            quarantine_line(subject, id)
                 .field("state", "begun")
                 .field("crashes", crashes),
         ),
         QuarantineChange::Ended(id) => (
             Some("quarantine.ended"),
-            verdict_line(subject, id).field("state", "ended"),
+            quarantine_line(subject, id).field("state", "ended"),
         ),
     }
 }
 
-fn verdict_line(subject: Subject, id: SuspectId) -> Line {
+fn quarantine_line(subject: Subject, id: SuspectId) -> Line {
     let id = format!("{id:x}");
     match subject {
         Subject::Segments => Line::new("prompt.quarantine").field("segment", id),
--- a/crates/router/src/load/quarantine.rs
+++ b/crates/router/src/load/quarantine.rs
@@ -11,11 +11,11 @@
 use smol_str::SmolStr;
 use tokio::time::Instant;
 
-mod conviction;
 mod crash;
 mod notice;
 mod sound_suspects;
 mod suspect;
+mod threshold;
 
 pub use notice::{Notice, Suspect};
 pub use suspect::{
@@ -56,12 +56,12 @@
 }
 
 #[derive(Clone, Copy, Debug)]
-struct Verdict {
+struct Entry {
     since: Instant,
     crashes: u32,
 }
 
-impl Verdict {
+impl Entry {
     /// Whether the suspect is to be tried again with single requests.
     fn is_due(&self, now: Instant) -> bool {
         now.saturating_duration_since(self.since) >= QUARANTINE_TIME
@@ -77,7 +77,7 @@
     sound: SoundSuspects,
     /// When it was last announced, by any instance, that a suspect is sound.
     announced: HashMap<SuspectId, Instant>,
-    verdicts: HashMap<SuspectId, Verdict>,
+    entries: HashMap<SuspectId, Entry>,
     notices: Vec<Notice>,
     changes: Vec<QuarantineChange>,
 }
@@ -91,7 +91,7 @@
             crashes: Vec::new(),
             sound: SoundSuspects::new(now),
             announced: HashMap::new(),
-            verdicts: HashMap::new(),
+            entries: HashMap::new(),
             notices: Vec::new(),
             changes: Vec::new(),
         }
@@ -105,13 +105,13 @@
         }
         let mut suspected = None;
         for &id in identity.suspects(self.subject) {
-            match self.verdicts.get(&id) {
-                Some(verdict) if !verdict.is_due(now) => {
+            match self.entries.get(&id) {
+                Some(entry) if !entry.is_due(now) => {
                     return Standing::Quarantined(Quarantined {
                         subject: self.subject,
                         id,
-                        crashes: verdict.crashes,
-                        age: now.saturating_duration_since(verdict.since),
+                        crashes: entry.crashes,
+                        age: now.saturating_duration_since(entry.since),
                     });
                 }
                 Some(_) => suspected = Some(id),
@@ -152,17 +152,17 @@
     /// Whether no crash is known, and nothing is in quarantine.
     #[must_use]
     pub fn is_clear(&self) -> bool {
-        self.verdicts.is_empty() && self.crashes.is_empty()
+        self.entries.is_empty() && self.crashes.is_empty()
     }
 
     /// The suspects in quarantine.
     pub fn quarantined(&self, now: Instant) -> impl Iterator<Item = Quarantined> {
-        let verdicts = self.verdicts.iter();
-        verdicts.map(move |(id, verdict)| Quarantined {
+        let entries = self.entries.iter();
+        entries.map(move |(id, entry)| Quarantined {
             subject: self.subject,
             id: *id,
-            crashes: verdict.crashes,
-            age: now.saturating_duration_since(verdict.since),
+            crashes: entry.crashes,
+            age: now.saturating_duration_since(entry.since),
         })
     }
 
@@ -260,7 +260,7 @@
                 crashes,
             } => {
                 let since = earlier(now, *age_ms);
-                self.convict(*id, since, *crashes, now);
+                self.begin(*id, since, *crashes, now);
             }
         }
     }
@@ -279,8 +279,8 @@
             .flat_map(|c| c.suspects.keys().copied())
             .collect();
         for id in suspects {
-            if let Some(crashes) = self.convicting_crashes(id, now) {
-                self.convict(id, now, crashes, now);
+            if let Some(crashes) = self.sufficient_crashes(id, now) {
+                self.begin(id, now, crashes, now);
             }
         }
     }
@@ -300,12 +300,12 @@
     /// All that is known, for an instance that has just been linked.
     #[must_use]
     pub fn all_notices(&self, now: Instant) -> Vec<Notice> {
-        let quarantined = self.verdicts.iter().map(|(id, verdict)| {
-            let age_ms = millis(now.saturating_duration_since(verdict.since));
+        let quarantined = self.entries.iter().map(|(id, entry)| {
+            let age_ms = millis(now.saturating_duration_since(entry.since));
             Notice::Quarantined {
                 id: *id,
                 age_ms,
-                crashes: verdict.crashes,
+                crashes: entry.crashes,
             }
         });
         let crashes = self.crashes.iter().filter(|c| !c.refuted);
@@ -317,25 +317,25 @@
     /// The crashes, not refuted, that a suspect may have caused. Those that another one in quarantine explains don't
     /// count.
     fn suspicions(&self, id: SuspectId) -> impl Iterator<Item = &Crash> {
-        let known = self.verdicts.contains_key(&id);
+        let known = self.entries.contains_key(&id);
         let crashes = self.crashes.iter().filter(|c| !c.refuted);
         crashes.filter(move |c| c.suspects.contains_key(&id) && (known || !c.explained))
     }
 
-    fn convict(&mut self, id: SuspectId, since: Instant, crashes: u32, now: Instant) {
-        let known = self.verdicts.get(&id);
-        // Of two verdicts the later one counts; instances date the same one a little differently.
+    fn begin(&mut self, id: SuspectId, since: Instant, crashes: u32, now: Instant) {
+        let known = self.entries.get(&id);
+        // Of two the later one counts; instances date the same one a little differently.
         let newer = known.is_none_or(|v| since > v.since + QUARANTINE_TIME);
         if !newer || self.sound.contains(id) {
             return;
         }
-        if known.is_none() && self.verdicts.len() >= MAX_QUARANTINED {
-            let oldest = self.verdicts.iter().min_by_key(|(_, v)| v.since);
+        if known.is_none() && self.entries.len() >= MAX_QUARANTINED {
+            let oldest = self.entries.iter().min_by_key(|(_, v)| v.since);
             if let Some(oldest) = oldest.map(|(id, _)| *id) {
-                self.verdicts.remove(&oldest);
+                self.entries.remove(&oldest);
             }
         }
-        self.verdicts.insert(id, Verdict { since, crashes });
+        self.entries.insert(id, Entry { since, crashes });
         self.explain_crashes();
         self.notices.push(Notice::Quarantined {
             id,
@@ -353,7 +353,7 @@
         }
         for crash in &mut self.crashes {
             let mut suspects = crash.suspects.keys();
-            crash.explained = suspects.any(|id| self.verdicts.contains_key(id));
+            crash.explained = suspects.any(|id| self.entries.contains_key(id));
         }
     }
 
@@ -363,7 +363,7 @@
         for crash in &mut self.crashes {
             suspected |= crash.suspects.remove(&id).is_some();
         }
-        let quarantined = self.verdicts.remove(&id).is_some();
+        let quarantined = self.entries.remove(&id).is_some();
         if quarantined {
             self.explain_crashes();
             self.changes.push(QuarantineChange::Ended(id));
--- a/crates/router/src/load/quarantine/conviction.rs
+++ b/crates/router/src/load/quarantine/threshold.rs
@@ -28,9 +28,9 @@
 
 impl Quarantine {
     /// The number of crashes that put a suspect into quarantine now; `None` if there are too few.
-    pub(super) fn convicting_crashes(&self, id: SuspectId, now: Instant) -> Option<u32> {
-        let known = self.verdicts.get(&id);
-        if known.is_some_and(|verdict| !verdict.is_due(now)) {
+    pub(super) fn sufficient_crashes(&self, id: SuspectId, now: Instant) -> Option<u32> {
+        let known = self.entries.get(&id);
+        if known.is_some_and(|entry| !entry.is_due(now)) {
             return None;
         }
         let later = |c: &&Crash| known.is_none_or(|v| c.at >= v.since + QUARANTINE_TIME);
@@ -39,15 +39,15 @@
             .filter(|c| is_mature(c, now))
             .filter(later)
             .collect();
-        let convicted = match self.subject {
-            Subject::Segments => self.convicts_segment(id, &against, now),
+        let sufficient = match self.subject {
+            Subject::Segments => self.suffices_for_segment(id, &against, now),
             Subject::Requests if known.is_some() => !against.is_empty(),
-            Subject::Requests => convicts_request(id, &against),
+            Subject::Requests => suffices_for_request(id, &against),
         };
-        convicted.then(|| u32::try_from(against.len()).unwrap_or(u32::MAX))
+        sufficient.then(|| u32::try_from(against.len()).unwrap_or(u32::MAX))
     }
 
-    fn convicts_segment(&self, id: SuspectId, against: &[&Crash], now: Instant) -> bool {
+    fn suffices_for_segment(&self, id: SuspectId, against: &[&Crash], now: Instant) -> bool {
         let Some(first) = against.iter().map(|c| c.at).min() else {
             return false;
         };
@@ -60,7 +60,7 @@
         let total = total.filter(|c| is_mature(c, now)).count();
         let count = against.len();
         let enough = match prompts.len() {
-            _ if self.verdicts.contains_key(&id) => true,
+            _ if self.entries.contains_key(&id) => true,
             SEGMENT_PROMPTS.. => count >= SEGMENT_CRASHES,
             SEGMENT_PROMPTS_LATER.. => count > SEGMENT_CRASHES,
             _ => false,
@@ -69,7 +69,7 @@
     }
 }
 
-fn convicts_request(id: SuspectId, against: &[&Crash]) -> bool {
+fn suffices_for_request(id: SuspectId, against: &[&Crash]) -> bool {
     let Some(first) = against.first() else {
         return false;
     };
--- a/crates/router/tests/verdict_store.rs
+++ b/crates/router/tests/quarantine_store.rs
@@ -7,29 +7,33 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use jackdawtally::fleet::verdict_store::{self, Verdict, VerdictKey, VerdictStore};
+use jackdawtally::fleet::quarantine_store::{
+    self, QuarantineKey, QuarantineStore, StoredQuarantine,
+};
 use jackdawtally::node::Node;
 use jackdawtally::pools::PoolCrashes;
 use jackdawtally::quarantine::{Notice, Subject};
 
-/// Time in which an instance compares its verdicts with the store several times.
+/// Time in which an instance compares its quarantines with the store several times.
 const SOME_TIME: Duration = Duration::from_secs(10);
 const SUSPECT: u64 = 7;
 
 /// A store in memory that may refuse all calls.
 #[derive(Default)]
 struct MemoryStore {
-    verdicts: Mutex<BTreeMap<VerdictKey, Verdict>>,
+    quarantines: Mutex<BTreeMap<QuarantineKey, StoredQuarantine>>,
     away: Mutex<bool>,
     writes: AtomicUsize,
 }
 
 impl MemoryStore {
-    fn verdicts(&self) -> Result<MutexGuard<'_, BTreeMap<VerdictKey, Verdict>>, &'static str> {
+    fn quarantines(
+        &self,
+    ) -> Result<MutexGuard<'_, BTreeMap<QuarantineKey, StoredQuarantine>>, &'static str> {
         if *self.away.lock().expect("the mutex is not poisoned") {
             return Err("away");
         }
-        Ok(self.verdicts.lock().expect("the mutex is not poisoned"))
+        Ok(self.quarantines.lock().expect("the mutex is not poisoned"))
     }
 
     fn set_away(&self, away: bool) {
@@ -37,36 +41,37 @@
     }
 
     fn count(&self) -> usize {
-        let verdicts = self.verdicts.lock();
-        verdicts.expect("the mutex is not poisoned").len()
+        let quarantines = self.quarantines.lock();
+        quarantines.expect("the mutex is not poisoned").len()
     }
 }
 
-impl VerdictStore for MemoryStore {
+impl QuarantineStore for MemoryStore {
     type Error = &'static str;
 
-    async fn list(&self) -> Result<Vec<Verdict>, Self::Error> {
-        Ok(self.verdicts()?.values().cloned().collect())
+    async fn list(&self) -> Result<Vec<StoredQuarantine>, Self::Error> {
+        Ok(self.quarantines()?.values().cloned().collect())
     }
 
-    async fn put(&self, verdict: &Verdict) -> Result<(), Self::Error> {
+    async fn put(&self, quarantine: &StoredQuarantine) -> Result<(), Self::Error> {
         self.writes.fetch_add(1, Ordering::Relaxed);
-        let verdict = verdict.clone();
-        self.verdicts()?.insert(verdict.key.clone(), verdict);
+        let quarantine = quarantine.clone();
+        self.quarantines()?
+            .insert(quarantine.key.clone(), quarantine);
         Ok(())
     }
 
-    async fn remove(&self, key: &VerdictKey) -> Result<(), Self::Error> {
-        self.verdicts()?.remove(key);
+    async fn remove(&self, key: &QuarantineKey) -> Result<(), Self::Error> {
+        self.quarantines()?.remove(key);
         Ok(())
     }
 }
 
-/// Starts an instance that keeps its verdicts in `store`.
+/// Starts an instance that keeps its quarantines in `store`.
 fn start(store: &Arc<MemoryStore>) -> Arc<Node> {
     let node = common::node();
     node.pools.update_pool(&node.metrics, &"s".into(), &[]);
-    tokio::spawn(verdict_store::run(Arc::clone(&node), Arc::clone(store)));
+    tokio::spawn(quarantine_store::run(Arc::clone(&node), Arc::clone(store)));
     node
 }
 
--- a/crates/standins/tests/crash_fleet/mod.rs
+++ b/crates/standins/tests/crash_fleet/mod.rs
@@ -467,7 +467,7 @@
 }
 
 /// Plays crashes with other causes: nothing may be kept from the servers.
-pub fn check_innocent(load: Load, seeds: u64) {
+pub fn check_unrelated(load: Load, seeds: u64) {
     for seed in 0..seeds {
         let fleet = Fleet::new(load, seed).play();
 
--- a/crates/standins/tests/crashing_prompts.rs
+++ b/crates/standins/tests/crashing_prompts.rs
@@ -45,7 +45,7 @@
             ..LOAD
         };
 
-        crash_fleet::check_innocent(load, 2);
+        crash_fleet::check_unrelated(load, 2);
     }
 }
 
@@ -60,7 +60,7 @@
             ..LOAD
         };
 
-        crash_fleet::check_innocent(load, 2);
+        crash_fleet::check_unrelated(load, 2);
     }
 }
 
--- a/crates/standins/tests/crashing_requests.rs
+++ b/crates/standins/tests/crashing_requests.rs
@@ -52,7 +52,7 @@
             ..REQUESTS
         };
 
-        crash_fleet::check_innocent(load, 3);
+        crash_fleet::check_unrelated(load, 3);
     }
 }
 
@@ -67,7 +67,7 @@
             ..REQUESTS
         };
 
-        crash_fleet::check_innocent(load, 3);
+        crash_fleet::check_unrelated(load, 3);
     }
 }
 
