Judge suspects only when the evidence changes

Cause, by reading: each tick looked up each suspect in each crash; with requests that are 64 crashes with up to 64 suspects each, most of which never come again, some hundred thousand lookups each 20 ms, and the same for all that wait. Change: suspects are judged when crashes change and until the time for objections is over, those with two crashes only; the gate asks a set.

--- a/crates/router/src/load/quarantine.rs
+++ b/crates/router/src/load/quarantine.rs
@@ -5,7 +5,7 @@
 //! cause. A suspect is sound, and none any more, once a response to a request with it went on past its beginning, at
 //! any instance.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::Duration;
 
 use smol_str::SmolStr;
@@ -78,6 +78,12 @@
     /// When it was last announced, by any instance, that a suspect is sound.
     announced: HashMap<SuspectId, Instant>,
     entries: HashMap<SuspectId, Entry>,
+    /// The suspects that are to be tried with care, as of the last update.
+    suspected: HashSet<SuspectId>,
+    /// Whether the crashes have changed since then.
+    changed: bool,
+    /// Until when the crashes may put a suspect into quarantine without a further change.
+    undecided_until: Instant,
     notices: Vec<Notice>,
     changes: Vec<QuarantineChange>,
 }
@@ -92,6 +98,9 @@
             sound: SoundSuspects::new(now),
             announced: HashMap::new(),
             entries: HashMap::new(),
+            suspected: HashSet::new(),
+            changed: false,
+            undecided_until: now,
             notices: Vec::new(),
             changes: Vec::new(),
         }
@@ -132,6 +141,9 @@
     /// Whether a suspect that isn't in quarantine is to be tried with care. A request that was the only one open at a
     /// crash is suspected at once.
     fn is_suspected(&self, id: SuspectId) -> bool {
+        if !self.changed {
+            return self.suspected.contains(&id);
+        }
         let alone = |c: &Crash| self.subject == Subject::Requests && c.suspects.len() == 1;
         self.suspicions(id).count() >= SUSPECTING_CRASHES || self.suspicions(id).any(alone)
     }
@@ -202,6 +214,7 @@
         });
         for crash in refuted {
             crash.refuted = true;
+            self.changed = true;
             self.notices.push(Notice::Refutation {
                 server: crash.server.clone(),
                 age_ms: millis(now.saturating_duration_since(crash.at)),
@@ -237,6 +250,7 @@
                 let found = self.crashes.iter_mut().find(|c| c.is_same(server, at));
                 if let Some(crash) = found.filter(|c| !c.refuted) {
                     crash.refuted = true;
+                    self.changed = true;
                     self.notices.push(notice.clone());
                     self.changes.push(QuarantineChange::Refuted(server.clone()));
                 }
@@ -271,17 +285,22 @@
             return;
         }
         let age = |at: Instant| now.saturating_duration_since(at);
+        let before = self.crashes.len();
         self.crashes.retain(|c| age(c.at) < CRASH_RETENTION);
+        self.changed |= self.crashes.len() != before;
         self.announced.retain(|_, at| age(*at) < SOUND_REPEAT);
-        let suspects: BTreeSet<SuspectId> = self
-            .crashes
-            .iter()
-            .flat_map(|c| c.suspects.keys().copied())
-            .collect();
-        for id in suspects {
-            if let Some(crashes) = self.sufficient_crashes(id, now) {
-                self.begin(id, now, crashes, now);
+        let changed = self.changed;
+        if changed {
+            self.undecided_until = now + OBJECTION_TIME * 2;
+        }
+        if changed || now < self.undecided_until {
+            for id in self.candidates() {
+                if let Some(crashes) = self.sufficient_crashes(id, now) {
+                    self.begin(id, now, crashes, now);
+                }
             }
+            self.suspected = self.find_suspected();
+            self.changed = false;
         }
     }
 
@@ -314,6 +333,38 @@
             .collect()
     }
 
+    /// The suspects that several crashes speak against, or that were in quarantine.
+    fn candidates(&self) -> Vec<SuspectId> {
+        let counts = self.count_crashes();
+        let several = |(id, count): &(SuspectId, usize)| {
+            *count >= SUSPECTING_CRASHES || self.entries.contains_key(id)
+        };
+        let several = counts.into_iter().filter(several);
+        several.map(|(id, _)| id).collect()
+    }
+
+    fn find_suspected(&self) -> HashSet<SuspectId> {
+        let several = self.count_crashes().into_iter();
+        let several = several.filter(|(_, count)| *count >= SUSPECTING_CRASHES);
+        let alone = self.crashes.iter().filter(|c| !c.refuted && !c.explained);
+        let alone = alone.filter(|c| self.subject == Subject::Requests && c.suspects.len() == 1);
+        let alone = alone.flat_map(|c| c.suspects.keys().copied());
+        several.map(|(id, _)| id).chain(alone).collect()
+    }
+
+    /// The number of crashes, not refuted or explained, for each suspect.
+    fn count_crashes(&self) -> HashMap<SuspectId, usize> {
+        let mut counts = HashMap::new();
+        let crashes = self.crashes.iter().filter(|c| !c.refuted);
+        for crash in crashes {
+            let suspects = crash.suspects.keys();
+            for id in suspects.filter(|id| !crash.explained || self.entries.contains_key(id)) {
+                *counts.entry(*id).or_default() += 1;
+            }
+        }
+        counts
+    }
+
     /// The crashes, not refuted, that a suspect may have caused. Those that another one in quarantine explains don't
     /// count.
     fn suspicions(&self, id: SuspectId) -> impl Iterator<Item = &Crash> {
@@ -336,6 +387,7 @@
             }
         }
         self.entries.insert(id, Entry { since, crashes });
+        self.changed = true;
         self.explain_crashes();
         self.notices.push(Notice::Quarantined {
             id,
@@ -363,6 +415,7 @@
         for crash in &mut self.crashes {
             suspected |= crash.suspects.remove(&id).is_some();
         }
+        self.changed |= suspected;
         let quarantined = self.entries.remove(&id).is_some();
         if quarantined {
             self.explain_crashes();
@@ -400,6 +453,7 @@
         let crash = &mut self.crashes[index];
         let added = crash.add_suspects(suspects);
         if known.is_none() || !added.is_empty() {
+            self.changed = true;
             let notice = crash.notice(&added, now);
             self.notices.push(notice);
             self.explain_crashes();
