Suspect no lone request if several servers crash at once

Change: a lone request is suspected only if no other server crashed within 100 ms without it. Quarantine needs the same evidence as before.

--- a/crates/router/src/load/quarantine.rs
+++ b/crates/router/src/load/quarantine.rs
@@ -27,6 +27,8 @@
 
 /// Crashes after which a suspect is to be tried with care.
 const SUSPECTING_CRASHES: usize = 2;
+/// Servers that crash within this time may have one cause in common, such as a loss of power.
+const SAME_TIME: Duration = Duration::from_millis(100);
 /// Time for the other instances to say that a server didn't crash, or that a suspect is sound.
 const OBJECTION_TIME: Duration = Duration::from_millis(300);
 /// Time for which a crash is remembered.
@@ -144,7 +146,7 @@
         if !self.changed {
             return self.suspected.contains(&id);
         }
-        let alone = |c: &Crash| self.subject == Subject::Requests && c.suspects.len() == 1;
+        let alone = |c: &Crash| self.is_lone(c);
         self.suspicions(id).count() >= SUSPECTING_CRASHES || self.suspicions(id).any(alone)
     }
 
@@ -343,11 +345,24 @@
         several.map(|(id, _)| id).collect()
     }
 
+    /// Whether one request alone may have caused a crash: no other was open there, and no other server crashed at the
+    /// same time without it.
+    fn is_lone(&self, crash: &Crash) -> bool {
+        if self.subject == Subject::Segments || crash.suspects.len() != 1 {
+            return false;
+        }
+        let mut others = self.crashes.iter().filter(|c| !c.refuted);
+        others.all(|other| {
+            let apart = other.at.max(crash.at) - other.at.min(crash.at);
+            apart >= SAME_TIME || other.suspects.keys().eq(crash.suspects.keys())
+        })
+    }
+
     fn find_suspected(&self) -> HashSet<SuspectId> {
         let several = self.count_crashes().into_iter();
         let several = several.filter(|(_, count)| *count >= SUSPECTING_CRASHES);
         let alone = self.crashes.iter().filter(|c| !c.refuted && !c.explained);
-        let alone = alone.filter(|c| self.subject == Subject::Requests && c.suspects.len() == 1);
+        let alone = alone.filter(|c| self.is_lone(c));
         let alone = alone.flat_map(|c| c.suspects.keys().copied());
         several.map(|(id, _)| id).chain(alone).collect()
     }
--- a/crates/router/src/load/quarantine/threshold.rs
+++ b/crates/router/src/load/quarantine/threshold.rs
@@ -1,12 +1,11 @@
 //! How much evidence puts a suspect into quarantine.
 
 use std::collections::BTreeSet;
-use std::time::Duration;
 
 use tokio::time::Instant;
 
 use super::crash::Crash;
-use super::{OBJECTION_TIME, PromptId, QUARANTINE_TIME, Quarantine, Subject, SuspectId};
+use super::{OBJECTION_TIME, PromptId, QUARANTINE_TIME, Quarantine, SAME_TIME, Subject, SuspectId};
 
 /// Crashes after which a segment goes into quarantine.
 const SEGMENT_CRASHES: usize = 4;
@@ -23,9 +22,6 @@
 /// The same if it was the only one open at each.
 const LONE_REQUEST_CRASHES: usize = 2;
 
-/// Servers that crash within this time may have one cause in common, such as a loss of power.
-const SAME_TIME: Duration = Duration::from_millis(100);
-
 impl Quarantine {
     /// The number of crashes that put a suspect into quarantine now; `None` if there are too few.
     pub(super) fn sufficient_crashes(&self, id: SuspectId, now: Instant) -> Option<u32> {
