--- a/crates/router/src/fleet/isolated_instances.rs
+++ b/crates/router/src/fleet/isolated_instances.rs
@@ -39,24 +39,33 @@
 /// The instances that are cut off from all backend servers, as known to one of them.
 #[derive(Debug)]
 pub struct IsolatedInstances {
-    own: Mutex<IsolationRecord>,
     isolated: watch::Sender<bool>,
-    others: Mutex<BTreeMap<InstanceId, IsolationRecord>>,
+    records: Mutex<Records>,
+}
+
+/// The records of all instances.
+#[derive(Debug)]
+struct Records {
+    own: IsolationRecord,
+    others: BTreeMap<InstanceId, IsolationRecord>,
 }
 
 impl IsolatedInstances {
     /// Creates the state of the instance with this record, at which no instance is isolated.
     #[must_use]
     pub fn new(own: &InstanceRecord) -> Self {
+        let own = IsolationRecord {
+            id: own.id.clone(),
+            incarnation: own.incarnation,
+            sequence: 0,
+            isolated: false,
+        };
         Self {
-            own: Mutex::new(IsolationRecord {
-                id: own.id.clone(),
-                incarnation: own.incarnation,
-                sequence: 0,
-                isolated: false,
-            }),
             isolated: watch::Sender::new(false),
-            others: Mutex::default(),
+            records: Mutex::new(Records {
+                own,
+                others: BTreeMap::new(),
+            }),
         }
     }
 
@@ -75,29 +84,27 @@
 
     /// Sets whether this instance is isolated, and returns the record to be sent to the other instances.
     pub fn set_own(&self, isolated: bool) -> IsolationRecord {
-        let mut own = self.own.lock().unwrap_or_else(PoisonError::into_inner);
+        let own = &mut self.lock().own;
         own.sequence += 1;
         own.isolated = isolated;
         self.isolated.send_replace(isolated);
-        log_change(&own, "own");
+        log_change(own, "own");
         own.clone()
     }
 
     /// Whether the instance with this record is isolated.
     #[must_use]
     pub fn contains(&self, record: &InstanceRecord) -> bool {
-        let others = self.lock();
+        let Records { own, others } = &*self.lock();
         let known = others.get(&record.id);
         let isolated = known.is_some_and(|k| k.isolated && k.incarnation == record.incarnation);
-        let own = self.own.lock().unwrap_or_else(PoisonError::into_inner);
         isolated || (own.isolated && own.id == record.id)
     }
 
     /// Takes records of other instances into account, and returns those that are news.
     #[must_use]
     pub fn merge(&self, records: &[IsolationRecord]) -> Vec<IsolationRecord> {
-        let own = self.own.lock().unwrap_or_else(PoisonError::into_inner);
-        let mut others = self.lock();
+        let Records { own, others } = &mut *self.lock();
         let mut news = Vec::new();
         for record in records.iter().filter(|r| r.id != own.id) {
             let known = others.get(&record.id);
@@ -114,15 +121,13 @@
     /// The records of all instances that have ever changed, for an instance that has just been linked.
     #[must_use]
     pub fn all(&self) -> Vec<IsolationRecord> {
-        let own = self.own.lock().unwrap_or_else(PoisonError::into_inner);
-        let own = Some(own.clone()).filter(|own| own.sequence > 0);
-        own.into_iter()
-            .chain(self.lock().values().cloned())
-            .collect()
+        let Records { own, others } = &*self.lock();
+        let changed = Some(own).filter(|own| own.sequence > 0);
+        changed.into_iter().chain(others.values()).cloned().collect()
     }
 
-    fn lock(&self) -> MutexGuard<'_, BTreeMap<InstanceId, IsolationRecord>> {
-        self.others.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, Records> {
+        self.records.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
--- a/crates/router/tests/isolation.rs
+++ b/crates/router/tests/isolation.rs
@@ -1,6 +1,8 @@
 //! How an instance finds out that it is cut off from all backend servers, and what others know of it.
 
 use std::collections::HashMap;
+use std::sync::{Arc, Barrier, mpsc};
+use std::thread;
 use std::time::Duration;
 
 use jackdawtally::fleet::isolated_instances::{IsolatedInstances, IsolationRecord};
@@ -9,6 +11,9 @@
 use jackdawtally::membership::{InstanceRecord, InstanceState};
 use tokio::time::Instant;
 
+/// Time after which calls are taken to wait for each other; they take some milliseconds.
+const DEADLOCK_TIMEOUT: Duration = Duration::from_secs(120);
+
 fn record(number: usize, incarnation: u64) -> InstanceRecord {
     let address = ([127, 0, 0, 1], 1_000).into();
     InstanceRecord {
@@ -141,3 +146,40 @@
         );
     }
 }
+
+/// A look at the records by one thread, while another one took news of a peer, stopped the whole instance: each held what
+/// the other waited for.
+#[test]
+fn concurrent_calls_do_not_deadlock() {
+    const CALLS: u64 = 20_000;
+    let known = Arc::new(IsolatedInstances::new(&record(1, 1)));
+    let calls: [fn(&IsolatedInstances, u64); 4] = [
+        |known, _| drop(known.contains(&record(2, 1))),
+        |known, _| drop(known.all()),
+        |known, number| drop(known.set_own(number.is_multiple_of(2))),
+        |known, number| {
+            drop(known.merge(&[IsolationRecord {
+                id: "front-2".into(),
+                incarnation: 1,
+                sequence: number,
+                isolated: true,
+            }]));
+        },
+    ];
+    let barrier = Arc::new(Barrier::new(calls.len()));
+    let (done, finished) = mpsc::channel();
+
+    for call in calls {
+        let (known, barrier, done) = (Arc::clone(&known), Arc::clone(&barrier), done.clone());
+        thread::spawn(move || {
+            barrier.wait();
+            (0..CALLS).for_each(|number| call(&known, number));
+            done.send(()).expect("the test waits");
+        });
+    }
+
+    for _ in calls {
+        let ended = finished.recv_timeout(DEADLOCK_TIMEOUT);
+        assert_eq!(ended, Ok(()), "the calls wait for each other");
+    }
+}
