--- a/crates/router/src/fleet/isolated_instances.rs
+++ b/crates/router/src/fleet/isolated_instances.rs
@@ -123,7 +123,11 @@
     pub fn all(&self) -> Vec<IsolationRecord> {
         let Records { own, others } = &*self.lock();
         let changed = Some(own).filter(|own| own.sequence > 0);
-        changed.into_iter().chain(others.values()).cloned().collect()
+        changed
+            .into_iter()
+            .chain(others.values())
+            .cloned()
+            .collect()
     }
 
     fn lock(&self) -> MutexGuard<'_, Records> {
