Forgotten crashes are no news

Instances that remember as many crashes as they keep forgot one for each that a peer told them, and took the forgotten one for news when the next peer told it: after a loss of power that hit more servers than that, the number of notices doubled with each exchange (150, 300, 550, 1000, 1950, 3900, 7800 at three instances). Callers of such an instance lose their connections.

Ruled out: the loop for suspected requests, which has no part in the test.

Crashes are in a list of their own now (quarantine::crash_list): the oldest is forgotten, not the one that was heard first, and a forgotten one is recognised for four minutes. An older quarantine of a peer displaces no later one. Two of the tests fail on the code before: the notices grow without end, and a notice that arrives while its crash is forgotten brings it back. A simulated loss of 100 of 300 servers at once, again and again, is new.

--- a/crates/router/src/load/quarantine.rs
+++ b/crates/router/src/load/quarantine.rs
@@ -12,6 +12,7 @@
 use tokio::time::Instant;
 
 mod crash;
+mod crash_list;
 mod notice;
 mod sound_suspects;
 mod suspect;
@@ -23,6 +24,7 @@
 };
 
 use crash::{Crash, MAX_SUSPECTS, Suspects};
+use crash_list::CrashList;
 use sound_suspects::SoundSuspects;
 
 /// Crashes after which a suspect is to be tried with care.
@@ -31,16 +33,12 @@
 const SAME_TIME: Duration = Duration::from_millis(100);
 /// Time for the other instances to say that a server didn't crash, or that a suspect is sound.
 const OBJECTION_TIME: Duration = Duration::from_millis(300);
-/// Time for which a crash is remembered.
-const CRASH_RETENTION: Duration = Duration::from_mins(2);
 /// A response of the server that comes this long after its reported crash refutes it.
 const REFUTATION_MARGIN: Duration = Duration::from_millis(100);
 /// Time between two announcements that a suspect is sound.
 const SOUND_REPEAT: Duration = Duration::from_secs(10);
 /// Time after which a suspect in quarantine is tried again with single requests. One more crash renews it.
 pub const QUARANTINE_TIME: Duration = Duration::from_hours(1);
-/// Maximum number of crashes that are remembered.
-const MAX_CRASHES: usize = 64;
 /// Maximum number of suspects in quarantine; the oldest is released for a new one.
 const MAX_QUARANTINED: usize = 256;
 
@@ -74,8 +72,7 @@
 #[derive(Debug)]
 pub struct Quarantine {
     subject: Subject,
-    /// In the order in which this instance learned of them.
-    crashes: Vec<Crash>,
+    crashes: CrashList,
     sound: SoundSuspects,
     /// When it was last announced, by any instance, that a suspect is sound.
     announced: HashMap<SuspectId, Instant>,
@@ -96,7 +93,7 @@
     pub fn new(subject: Subject, now: Instant) -> Self {
         Self {
             subject,
-            crashes: Vec::new(),
+            crashes: CrashList::default(),
             sound: SoundSuspects::new(now),
             announced: HashMap::new(),
             entries: HashMap::new(),
@@ -249,7 +246,7 @@
             }
             Notice::Refutation { server, age_ms } => {
                 let at = earlier(now, *age_ms);
-                let found = self.crashes.iter_mut().find(|c| c.is_same(server, at));
+                let found = self.crashes.find_mut(server, at);
                 if let Some(crash) = found.filter(|c| !c.refuted) {
                     crash.refuted = true;
                     self.changed = true;
@@ -283,13 +280,11 @@
 
     /// Puts suspects into quarantine that enough crashes speak against, and forgets old evidence.
     pub fn update(&mut self, now: Instant) {
+        self.changed |= self.crashes.expire(now);
         if self.crashes.is_empty() {
             return;
         }
         let age = |at: Instant| now.saturating_duration_since(at);
-        let before = self.crashes.len();
-        self.crashes.retain(|c| age(c.at) < CRASH_RETENTION);
-        self.changed |= self.crashes.len() != before;
         self.announced.retain(|_, at| age(*at) < SOUND_REPEAT);
         let changed = self.changed;
         if changed {
@@ -397,8 +392,10 @@
         }
         if known.is_none() && self.entries.len() >= MAX_QUARANTINED {
             let oldest = self.entries.iter().min_by_key(|(_, v)| v.since);
-            if let Some(oldest) = oldest.map(|(id, _)| *id) {
-                self.entries.remove(&oldest);
+            match oldest.map(|(id, v)| (*id, v.since)) {
+                Some((_, oldest)) if since <= oldest => return,
+                Some((id, _)) => drop(self.entries.remove(&id)),
+                None => {}
             }
         }
         self.entries.insert(id, Entry { since, crashes });
@@ -418,7 +415,7 @@
         if self.subject == Subject::Segments {
             return;
         }
-        for crash in &mut self.crashes {
+        for crash in self.crashes.iter_mut() {
             let mut suspects = crash.suspects.keys();
             crash.explained = suspects.any(|id| self.entries.contains_key(id));
         }
@@ -427,7 +424,7 @@
     /// Drops all that speaks against a suspect, and returns whether there was anything.
     fn clear(&mut self, id: SuspectId) -> bool {
         let mut suspected = false;
-        for crash in &mut self.crashes {
+        for crash in self.crashes.iter_mut() {
             suspected |= crash.suspects.remove(&id).is_some();
         }
         self.changed |= suspected;
@@ -450,35 +447,36 @@
 
     /// Adds a crash, or new suspects of a known one, and passes on what is new.
     fn add_crash(&mut self, server: &SmolStr, at: Instant, suspects: Suspects, now: Instant) {
-        let known = self.crashes.iter().position(|c| c.is_same(server, at));
-        let index = known.unwrap_or_else(|| {
-            self.forget_oldest();
-            self.crashes.push(Crash {
-                server: server.clone(),
-                at,
-                noted: now,
-                suspects: BTreeMap::new(),
-                refuted: false,
-                explained: false,
-            });
-            self.changes
-                .push(QuarantineChange::Crash(server.clone(), suspects.len()));
-            self.crashes.len() - 1
-        });
-        let crash = &mut self.crashes[index];
+        let Some(crash) = self.crashes.find_mut(server, at) else {
+            return self.add_new_crash(server, at, suspects, now);
+        };
         let added = crash.add_suspects(suspects);
-        if known.is_none() || !added.is_empty() {
+        if !added.is_empty() {
+            self.notices.push(crash.notice(&added, now));
             self.changed = true;
-            let notice = crash.notice(&added, now);
-            self.notices.push(notice);
             self.explain_crashes();
         }
     }
 
-    fn forget_oldest(&mut self) {
-        if self.crashes.len() >= MAX_CRASHES {
-            self.crashes.remove(0);
-        }
+    fn add_new_crash(&mut self, server: &SmolStr, at: Instant, suspects: Suspects, now: Instant) {
+        let crash = Crash {
+            server: server.clone(),
+            at,
+            noted: now,
+            suspects: BTreeMap::new(),
+            refuted: false,
+            explained: false,
+        };
+        let count = suspects.len();
+        let Some(crash) = self.crashes.add(crash, now) else {
+            return;
+        };
+        let added = crash.add_suspects(suspects);
+        self.notices.push(crash.notice(&added, now));
+        self.changes
+            .push(QuarantineChange::Crash(server.clone(), count));
+        self.changed = true;
+        self.explain_crashes();
     }
 }
 
--- a/crates/router/src/load/quarantine/crash.rs
+++ b/crates/router/src/load/quarantine/crash.rs
@@ -33,8 +33,7 @@
 
 impl Crash {
     pub(super) fn is_same(&self, server: &str, at: Instant) -> bool {
-        let apart = self.at.max(at) - self.at.min(at);
-        self.server == server && apart < SAME_CRASH
+        self.server == server && is_same_time(self.at, at)
     }
 
     /// Adds suspects, and returns those that are new.
@@ -66,3 +65,8 @@
         }
     }
 }
+
+/// Whether two reports of these times about one server are about the same crash.
+pub(super) fn is_same_time(a: Instant, b: Instant) -> bool {
+    a.max(b) - a.min(b) < SAME_CRASH
+}
--- a/crates/standins/tests/crashing_requests.rs
+++ b/crates/standins/tests/crashing_requests.rs
@@ -43,7 +43,14 @@
 /// Crashes with other causes, in series and many at once, met a sound request and its repeats.
 #[test]
 fn power_losses_quarantine_no_request() {
-    for (instances, servers, open) in [(1, 3, 3.0), (6, 12, 1.0), (6, 12, 10.0), (59, 60, 30.0)] {
+    let fleets = [
+        (1, 3, 3.0),
+        (6, 12, 1.0),
+        (6, 12, 10.0),
+        (59, 60, 30.0),
+        (59, 300, 1.0),
+    ];
+    for (instances, servers, open) in fleets {
         let load = Load {
             instances,
             servers,
