Streams that break off are not said to have not run

Callers saw the truth, a stream without its end; lines and metrics didn't tell it. The rule for refusals, by which a fault that says "not run" is replaced if an attempt may have run, holds for streams that end midway too.

--- a/crates/router/src/forward/forwarder.rs
+++ b/crates/router/src/forward/forwarder.rs
@@ -203,6 +203,7 @@
 
     /// Ends the request with `fault`, or with the fallback response if there is one.
     async fn fail(&mut self, fault: Fault) -> Outcome {
+        let fault = self.account_for_attempts(fault);
         if !self.response.is_unsent() {
             return Outcome::Cut(fault);
         }
@@ -212,7 +213,7 @@
                 Err(Disconnected) => Outcome::CallerGone,
             };
         }
-        Outcome::Refused(self.account_for_attempts(fault))
+        Outcome::Refused(fault)
     }
 
     /// Replaces a fault that says the request didn't run by `OutcomeUnknown` if an attempt may have run.
