Keep classes at shared servers while other servers are lost

Cause: the pauses at the servers that were left exceeded the threshold at which classes get servers of their own.

For ten seconds after two crashes or more, of a tenth of the servers or more, pauses aren't counted, and classes that share servers go on sharing them; those that are separate stay so.

--- a/crates/router/src/load/crash_evidence.rs
+++ b/crates/router/src/load/crash_evidence.rs
@@ -1,6 +1,8 @@
 //! What is known, at one instance, of the crashes of one pool's servers: the prompt segments and the requests that may
 //! be their cause.
 
+use std::time::Duration;
+
 use smol_str::SmolStr;
 use tokio::time::Instant;
 
@@ -85,6 +87,12 @@
         self.requests.has_crash(server, at)
     }
 
+    /// Number of crashes within this time.
+    #[must_use]
+    pub fn crashes_within(&self, time: Duration, now: Instant) -> usize {
+        self.requests.crashes_within(time, now)
+    }
+
     /// The segments and requests in quarantine.
     pub fn quarantined(&self, now: Instant) -> impl Iterator<Item = Quarantined> {
         let requests = self.requests.quarantined(now);
--- a/crates/router/src/load/partition.rs
+++ b/crates/router/src/load/partition.rs
@@ -82,9 +82,16 @@
     borders: Vec<usize>,
     by_server: SecondaryMap<ServerId, PartIndex>,
     by_class: HashMap<SmolStr, PartIndex>,
+    /// Whether classes that share servers go on sharing them, however often they disturb each other.
+    keeps_sharing: bool,
 }
 
 impl Partition {
+    /// Sets whether classes that share servers go on sharing them, however often they disturb each other.
+    pub const fn keep_sharing(&mut self, keep: bool) {
+        self.keeps_sharing = keep;
+    }
+
     /// The part of a class; `None` if the class has no recent requests.
     #[must_use]
     pub fn of_class(&self, class: &str) -> Option<PartIndex> {
@@ -163,7 +170,11 @@
     fn separates(&self, part: &Part, next: &Part) -> bool {
         let of = |p: &Part| p.classes.first().and_then(|class| self.of_class(class));
         let separate = of(part).is_some() && of(next).is_some() && of(part) != of(next);
-        let tolerated = if separate { KEEP_RATIO } else { SEPARATE_RATIO };
+        let tolerated = match separate {
+            true => KEEP_RATIO,
+            false if self.keeps_sharing => return false,
+            false => SEPARATE_RATIO,
+        };
         part.disturbed > tolerated && disturbance(next.prefill_ms, part.gap_ms) > 0.0
     }
 }
--- a/crates/router/src/load/pool/prompts.rs
+++ b/crates/router/src/load/pool/prompts.rs
@@ -18,6 +18,12 @@
 /// Time between two adaptations of the partition of the servers.
 const PARTITION_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Time after a crash in which the other servers carry the load of the crashed one, or its cache is cold.
+const LOSS_TIME: Duration = Duration::from_secs(10);
+/// Servers that have to crash in this time, of all and relative to all, for their loss to be seen in pauses elsewhere.
+const LOST_SERVERS_MIN: usize = 2;
+const LOST_SERVERS_DIVISOR: usize = 10;
+
 impl State {
     pub(super) fn place(
         &mut self,
@@ -98,6 +104,8 @@
         let before = self.partition.to_string();
         let demand = self.fleet_demand.summaries();
         let instances = f64::from(self.instances);
+        let lost_servers = self.has_lost_servers(now);
+        self.partition.keep_sharing(lost_servers);
         self.partition.update(&self.servers, &demand, instances);
         let after = self.partition.to_string();
         if after != before {
@@ -105,6 +113,13 @@
         }
     }
 
+    /// Whether so many servers crashed lately that pauses show the load that they left to the others, and their cold
+    /// caches, rather than how classes disturb each other.
+    fn has_lost_servers(&self, now: Instant) -> bool {
+        let lost = self.evidence.crashes_within(LOSS_TIME, now);
+        lost >= LOST_SERVERS_MIN && lost * LOST_SERVERS_DIVISOR >= self.servers.len()
+    }
+
     /// Mean number of slots of the servers; 1 without servers.
     fn mean_slots(&self) -> f64 {
         let slots: u32 = self.servers.values().map(|s| s.declared.slots).sum();
@@ -114,7 +129,7 @@
 
     /// Records a pause between two events of a response from `server`.
     pub(super) fn record_pause(&mut self, server: ServerId, pause: Duration, now: Instant) {
-        if self.recently_paused(now) {
+        if self.recently_paused(now) || self.has_lost_servers(now) {
             return;
         }
         let partition = &self.partition;
--- a/crates/router/src/load/quarantine.rs
+++ b/crates/router/src/load/quarantine.rs
@@ -160,6 +160,14 @@
         crashes.any(|c| c.is_same(server, at))
     }
 
+    /// Number of crashes within this time, as far as they are remembered.
+    #[must_use]
+    pub fn crashes_within(&self, time: Duration, now: Instant) -> usize {
+        let crashes = self.crashes.iter().filter(|c| !c.refuted);
+        let recent = crashes.filter(|c| now.saturating_duration_since(c.at) < time);
+        recent.count()
+    }
+
     /// Whether no crash is known, and nothing is in quarantine.
     #[must_use]
     pub fn is_clear(&self) -> bool {
--- a/crates/router/tests/partition.rs
+++ b/crates/router/tests/partition.rs
@@ -349,3 +349,23 @@
     assert!(disturbed(150, 100) < 0.001);
     assert!(disturbed(250, 100) > 0.9);
 }
+
+/// A third of the servers crashed: the pauses at the others, and the cold caches of those that came back, made all
+/// instances separate the classes, each a little differently, and prompts were prefilled anew at other servers.
+#[test]
+fn classes_that_share_servers_go_on_sharing_them_while_others_are_lost() {
+    let servers = servers(12);
+    let mut shared = Partition::default();
+    let mut separate = partition(&servers, &[tight(0.5), long()]);
+
+    for partition in [&mut shared, &mut separate] {
+        partition.keep_sharing(true);
+        partition.update(&servers, &[tight(0.5), long()], 6.0);
+    }
+    let kept = [shared.parts().len(), separate.parts().len()];
+    shared.keep_sharing(false);
+    shared.update(&servers, &[tight(0.5), long()], 6.0);
+
+    assert_eq!(kept, [1, 2]);
+    assert_eq!(shared.parts().len(), 2);
+}
