A crash older than all that are kept accuses nobody

Found when reading the diff: where as many crashes were kept as there is room for, one that was older than all of them was forgotten at once, and its suspects were added to the last crash in the list. A sound request could have been held against a crash that it wasn't open at.

--- a/crates/router/src/load/quarantine/crash_list.rs
+++ b/crates/router/src/load/quarantine/crash_list.rs
@@ -55,10 +55,10 @@
             log::warn!("server={server} crash=not_kept reason=\"too many servers crashed\"");
             return None;
         }
-        self.crashes.push(crash);
-        if self.crashes.len() > MAX_CRASHES {
-            self.forget_oldest();
+        if !self.make_room(&crash) {
+            return None;
         }
+        self.crashes.push(crash);
         self.crashes.last_mut()
     }
 
@@ -66,19 +66,28 @@
     pub(super) fn expire(&mut self, now: Instant) -> bool {
         let age = |at: &Instant| now.saturating_duration_since(*at);
         self.forgotten.retain(|_, at| age(at) < FORGOTTEN_RETENTION);
-        let expired = self
-            .crashes
-            .extract_if(.., |c| age(&c.at) >= CRASH_RETENTION);
-        let before = self.forgotten.len();
-        self.forgotten.extend(expired.map(|c| (c.server, c.at)));
-        self.forgotten.len() > before
+        let is_old = |crash: &mut Crash| age(&crash.at) >= CRASH_RETENTION;
+        let expired: Vec<Crash> = self.crashes.extract_if(.., is_old).collect();
+        let found = !expired.is_empty();
+        self.forgotten
+            .extend(expired.into_iter().map(|c| (c.server, c.at)));
+        found
     }
 
-    fn forget_oldest(&mut self) {
+    /// Forgets the oldest crash if there is no room for `new`. Returns `false`, and forgets that one, if it is older.
+    fn make_room(&mut self, new: &Crash) -> bool {
         let ages = self.crashes.iter().enumerate().map(|(i, c)| (c.at, i));
-        if let Some((_, oldest)) = ages.min() {
-            let crash = self.crashes.remove(oldest);
-            self.forgotten.insert(crash.server, crash.at);
+        match ages.min() {
+            Some((at, _)) if self.crashes.len() >= MAX_CRASHES && new.at <= at => {
+                self.forgotten.insert(new.server.clone(), new.at);
+                false
+            }
+            Some((_, oldest)) if self.crashes.len() >= MAX_CRASHES => {
+                let crash = self.crashes.remove(oldest);
+                self.forgotten.insert(crash.server, crash.at);
+                true
+            }
+            _ => true,
         }
     }
 }
--- a/crates/router/tests/quarantine.rs
+++ b/crates/router/tests/quarantine.rs
@@ -125,3 +125,27 @@
     assert_eq!([is_kept(256), is_kept(257)], [false, true]);
     assert_eq!(known.quarantined(now).count(), 256);
 }
+
+/// What was open at a crash that was older than all that are kept was held against another crash.
+#[test]
+fn crash_that_is_older_than_all_that_are_kept_accuses_nobody() {
+    let start = Instant::now();
+    let now = start + Duration::from_secs(10);
+    let mut known = Quarantine::new(Subject::Requests, start);
+    for id in 0..64 {
+        known.record_crash(&format!("w{id}@1").into(), now, &[request(id)], now);
+    }
+    drop(known.take_notices());
+
+    known.record_crash(&"old@1".into(), start, &[request(1_000)], now);
+    let told = known.take_notices();
+    let suspects = known.all_notices(now).into_iter().filter(|notice| {
+        let Notice::Crash { suspects, .. } = notice else {
+            return false;
+        };
+        suspects.iter().any(|s| s.id == 1_000)
+    });
+
+    assert_eq!(suspects.count(), 0);
+    assert!(told.is_empty(), "{told:?}");
+}
