Losses of servers count in pools of any size

The rule for pauses asked for a tenth of the servers, but at most 64 crashes are remembered: in a pool of more than 640 servers it never held. 32 crashes are enough now.

--- a/crates/router/src/load/pool/prompts.rs
+++ b/crates/router/src/load/pool/prompts.rs
@@ -2,6 +2,7 @@
 //! servers.
 
 use std::collections::HashMap;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use smol_str::SmolStr;
@@ -20,9 +21,10 @@
 
 /// Time after a crash in which the other servers carry the load of the crashed one, or its cache is cold.
 const LOSS_TIME: Duration = Duration::from_secs(10);
-/// Servers that have to crash in this time, of all and relative to all, for their loss to be seen in pauses elsewhere.
-const LOST_SERVERS_MIN: usize = 2;
-const LOST_SERVERS_DIVISOR: usize = 10;
+/// One server of this many that crashes in this time shows in the pauses at the others.
+const SERVERS_PER_LOSS: usize = 10;
+/// Bounds of the number of crashes that this means. More may not be remembered.
+const LOST_SERVERS: RangeInclusive<usize> = 2..=32;
 
 impl State {
     pub(super) fn place(
@@ -116,8 +118,9 @@
     /// Whether so many servers crashed lately that pauses show the load that they left to the others, and their cold
     /// caches, rather than how classes disturb each other.
     fn has_lost_servers(&self, now: Instant) -> bool {
-        let lost = self.evidence.crashes_within(LOSS_TIME, now);
-        lost >= LOST_SERVERS_MIN && lost * LOST_SERVERS_DIVISOR >= self.servers.len()
+        let many = self.servers.len() / SERVERS_PER_LOSS;
+        let many = many.clamp(*LOST_SERVERS.start(), *LOST_SERVERS.end());
+        self.evidence.crashes_within(LOSS_TIME, now) >= many
     }
 
     /// Mean number of slots of the servers; 1 without servers.
