--- a/crates/standins/src/bench.rs
+++ b/crates/standins/src/bench.rs
@@ -13,6 +13,7 @@
 
 use crate::caller::{AddressList, Callers, Outcome, RequestRecord};
 use crate::config_checks::{self, SharedObservations};
+use crate::crash_check::LATE_REQUESTS;
 use crate::deployment::Deployment;
 use crate::faults::{self, Action, Fault, FaultSchedule};
 use crate::instances::Instance;
@@ -34,6 +35,13 @@
 /// Share of responses that the faults `late-answers` and `crossed-answers` affect, in percent.
 const FAULTY_RESPONSE_PERCENT: u64 = 4;
 
+/// Number of operators that change the configuration concurrently.
+const OPERATORS: u64 = 3;
+/// Time between two requests that crash servers.
+const CRASHING_INTERVAL: Duration = Duration::from_millis(500);
+/// Time in which the fleet has to react to the crashes by which the cause has to be known.
+const CRASH_REACTION_TIME: Duration = Duration::from_secs(3);
+
 /// Parameters of a run.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -112,15 +120,10 @@
         Arc::clone(&observations),
     ));
     if options.faults.contains(&Fault::ConcurrentOperators) {
-        for operator in 0..3 {
-            let task = config_checks::run_operator(
-                Arc::clone(bed),
-                Arc::clone(&observations),
-                operator,
-                window_end,
-            );
-            background.spawn(task);
-        }
+        spawn_operators(&mut background, bed, &observations, window_end);
+    }
+    if options.faults.contains(&Fault::CrashingRequest) {
+        background.spawn(send_crashing(Arc::clone(bed)));
     }
     let records = send_requests(bed, options, planned, run_start).await;
     if options.faults.contains(&Fault::ConcurrentOperators) {
@@ -140,6 +143,7 @@
     };
     let mut violations = checker.check();
     violations.rate_exceeded = exceeded_rates(bed);
+    violations.crashed_late = late_crashes(bed);
     let healed_at = *healed_at
         .lock()
         .unwrap_or_else(std::sync::PoisonError::into_inner);
@@ -188,6 +192,20 @@
     })
 }
 
+/// Starts operators that change the configuration until `end`.
+fn spawn_operators(
+    background: &mut JoinSet<()>,
+    bed: &Arc<TestBed>,
+    observations: &SharedObservations,
+    end: Instant,
+) {
+    for operator in 0..OPERATORS {
+        let observations = Arc::clone(observations);
+        let task = config_checks::run_operator(Arc::clone(bed), observations, operator, end);
+        background.spawn(task);
+    }
+}
+
 /// The servers that got more requests than the rate limits that they named.
 fn exceeded_rates(bed: &TestBed) -> Vec<String> {
     let excesses = bed.servers.iter().filter_map(|server| {
@@ -197,6 +215,30 @@
     excesses.collect()
 }
 
+/// A message if the crashing request reached servers too often after it had to be known.
+fn late_crashes(bed: &TestBed) -> Vec<String> {
+    let crashes = bed.log.crashes();
+    let late = crashes.late_requests(CRASH_REACTION_TIME);
+    let message = format!("{late} late requests, {} crashes", crashes.crashes());
+    let violation = (late > LATE_REQUESTS).then_some(message);
+    violation.into_iter().collect()
+}
+
+/// Sends the request that crashes servers again and again, each time to another instance. Never returns.
+async fn send_crashing(bed: Arc<TestBed>) {
+    let Some(request) = traffic::crashing_request(&bed.deployment) else {
+        return std::future::pending().await;
+    };
+    let addresses = Arc::new(AddressList::default());
+    let callers = Callers::new(Arc::clone(&addresses));
+    loop {
+        tokio::time::sleep(CRASHING_INTERVAL).await;
+        addresses.set(bed.caller_addresses());
+        let (callers, request) = (callers.clone(), request.clone());
+        tokio::spawn(async move { callers.run(request).await });
+    }
+}
+
 /// Applies the declarations of the deployment through the operator API of an instance.
 ///
 /// # Errors
--- a/crates/standins/src/execution_log.rs
+++ b/crates/standins/src/execution_log.rs
@@ -6,6 +6,8 @@
 use smol_str::SmolStr;
 use tokio::time::Instant;
 
+use crate::crash_check::{Cause, CrashRecord};
+
 /// Number that identifies a request. Callers write it into the prompt.
 pub type Tag = u64;
 
@@ -54,9 +56,19 @@
 }
 
 /// The log that all simulated servers of a run share.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct ExecutionLog {
     records: Mutex<ExecutionRecords>,
+    crashes: Mutex<CrashRecord>,
+}
+
+impl Default for ExecutionLog {
+    fn default() -> Self {
+        Self {
+            records: Mutex::default(),
+            crashes: Mutex::new(CrashRecord::new(Cause::Request)),
+        }
+    }
 }
 
 impl ExecutionLog {
@@ -75,6 +87,23 @@
         self.lock().after_leaving.push(start);
     }
 
+    /// Records that a server crashed under the crashing request.
+    pub fn record_crash(&self, at: Instant) {
+        let mut crashes = self.lock_crashes();
+        crashes.arrive(at);
+        crashes.crash(at);
+    }
+
+    /// What servers received of the crashing request.
+    #[must_use]
+    pub fn crashes(&self) -> CrashRecord {
+        self.lock_crashes().clone()
+    }
+
+    fn lock_crashes(&self) -> MutexGuard<'_, CrashRecord> {
+        self.crashes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Sets the measurement window, in which tokens are also counted separately. Without one, none are.
     pub fn set_window(&self, from: Instant, to: Instant) {
         self.lock().window = Some((from, to));
--- a/crates/standins/src/faults.rs
+++ b/crates/standins/src/faults.rs
@@ -38,6 +38,8 @@
     ConcurrentOperators,
     /// Two servers name a rate limit; one changes it, and both withdraw it.
     RateLimit,
+    /// One request crashes each server that begins to run it, and comes again and again.
+    CrashingRequest,
     /// Servers delay some responses.
     DelayedResponses,
     /// Servers send the response of another request for some requests.
@@ -59,6 +61,7 @@
     ("partition", Fault::Partition),
     ("operator-race", Fault::ConcurrentOperators),
     ("rate-limit", Fault::RateLimit),
+    ("crashing-request", Fault::CrashingRequest),
     ("late-answers", Fault::DelayedResponses),
     ("crossed-answers", Fault::MismatchedResponses),
 ];
@@ -210,6 +213,7 @@
             }
             Fault::LostReplies
             | Fault::ConcurrentOperators
+            | Fault::CrashingRequest
             | Fault::DelayedResponses
             | Fault::MismatchedResponses => {}
         }
--- a/crates/standins/src/invariants.rs
+++ b/crates/standins/src/invariants.rs
@@ -46,6 +46,8 @@
     pub work_after_leaving: Vec<String>,
     /// A server got more requests than the rate limit that it named.
     pub rate_exceeded: Vec<String>,
+    /// The crashing request was sent to servers after the crashes by which it had to be known.
+    pub crashed_late: Vec<String>,
     /// A graceful shutdown of an instance interrupted a response.
     pub cut_by_stop: Vec<String>,
     /// An instance went back to an older configuration, or an accepted change is missing from the change
@@ -58,7 +60,7 @@
 impl Violations {
     /// Returns each kind of violation with its cases, under the names used in the report.
     #[must_use]
-    pub fn all(&self) -> [(&'static str, &Vec<String>); 11] {
+    pub fn all(&self) -> [(&'static str, &Vec<String>); 12] {
         [
             ("tier_inversion", &self.tier_inversion),
             ("starved", &self.starved),
@@ -68,6 +70,7 @@
             ("false_not_run", &self.false_not_run),
             ("work_after_leaving", &self.work_after_leaving),
             ("rate_exceeded", &self.rate_exceeded),
+            ("crashed_late", &self.crashed_late),
             ("cut_by_stop", &self.cut_by_stop),
             ("config_reverted", &self.config_reverted),
             ("config_late", &self.config_late),
--- a/crates/standins/src/simulated_server.rs
+++ b/crates/standins/src/simulated_server.rs
@@ -45,6 +45,11 @@
 /// when the reader resumes the stream.
 const EVENT_CHANNEL_CAPACITY: usize = 1_024;
 
+/// Tag of the request that crashes each server that begins to run it.
+pub const CRASHING_TAG: Tag = Tag::MAX;
+/// Time for which a server is down after a crash under that request.
+const RESTART_TIME: Duration = Duration::from_millis(1_500);
+
 /// Index under which the requests of all instances are recorded for the check of rate limits.
 const ANY_INSTANCE: usize = 0;
 
@@ -194,6 +199,17 @@
         self.down_changed.notify_waiters();
     }
 
+    /// Crashes under a request, and restarts after a while.
+    fn crash_under_request(self: &Arc<Self>) {
+        self.log.record_crash(Instant::now());
+        self.crash();
+        let server = Arc::clone(self);
+        tokio::spawn(async move {
+            tokio::time::sleep(RESTART_TIME).await;
+            server.recover();
+        });
+    }
+
     /// Restarts the server after a crash, without any requests or cached prefixes.
     pub fn recover(&self) {
         self.is_down.store(false, Ordering::SeqCst);
@@ -324,6 +340,10 @@
         let id = header(request, REQUEST_ID_HEADER);
         let retention: u64 = header(request, "x-keep-ms").parse().unwrap_or_default();
         let prompt = Prompt::parse(&body);
+        if prompt.tag == CRASHING_TAG {
+            self.crash_under_request();
+            return std::future::pending().await;
+        }
         if let Some(rejection) = self.reject_if_leaving(&prompt) {
             return rejection;
         }
--- a/crates/standins/src/traffic.rs
+++ b/crates/standins/src/traffic.rs
@@ -10,6 +10,7 @@
 
 use crate::deployment::{ClassTraffic, Deployment, Target};
 use crate::execution_log::Tag;
+use crate::simulated_server::CRASHING_TAG;
 
 /// Number of different prompt prefixes in the requests of a class.
 const PREFIXES_PER_CLASS: u64 = 6;
@@ -93,6 +94,19 @@
     planned
 }
 
+/// The request that crashes servers: one of the first class with streams.
+#[must_use]
+pub fn crashing_request(deployment: &Deployment) -> Option<PlannedRequest> {
+    let mut streams = deployment.traffic.iter();
+    let traffic = streams.find(|t| matches!(t.target, Target::Stream(_)))?;
+    let mut rng = ChaCha8Rng::seed_from_u64(CRASHING_TAG);
+    let request = draw_request(deployment, traffic, Duration::ZERO, &mut rng);
+    Some(PlannedRequest {
+        tag: CRASHING_TAG,
+        ..request
+    })
+}
+
 fn arrival_rate(deployment: &Deployment, traffic: &ClassTraffic, load: f64) -> f64 {
     let (shortest, longest) = traffic.length;
     #[expect(clippy::cast_precision_loss, reason = "small numbers")]
