--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -64,7 +64,12 @@
         fields: &[
             "server", "service", "address", "slots", "version", "state", "revision", "reason",
         ],
-        meaning: "the entry of a backend server was added or changed; the state is `ready`, `leaving`, `lapsed` (expired), `gone` or `unreadable`",
+        meaning: "the entry of a backend server was added or changed; the state is `ready`, `leaving`, `lapsed` (expired), `gone`, `past` (it was so in between, and is no more) or `unreadable`",
+    },
+    EventSpec {
+        name: "server.history_lost",
+        fields: &[],
+        meaning: "backend servers may have come and gone unnoticed, as the store no longer has all changes; which versions have served is unknown until now",
     },
     EventSpec {
         name: "server.limit",
--- a/crates/router/src/fleet/mod.rs
+++ b/crates/router/src/fleet/mod.rs
@@ -10,6 +10,7 @@
 pub mod links;
 pub mod list_confirmation;
 pub mod membership;
+pub mod object_history;
 pub mod origin;
 pub mod quarantine_store;
 pub mod record_sync;
--- a/crates/router/src/fleet/replica.rs
+++ b/crates/router/src/fleet/replica.rs
@@ -9,10 +9,12 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+use crate::fleet::object_history::{ObjectHistory, PastState};
+
+pub use crate::fleet::object_history::Revision;
+
 /// The name of a kind of objects in the store.
 pub type Kind = SmolStr;
-/// The store's change counter, which begins anew from an earlier value with each era.
-pub type Revision = u64;
 /// Counts how often the store was restored from an older copy.
 pub type Era = u32;
 
@@ -59,6 +61,10 @@
     /// The last change of each object that changed.
     #[serde(rename = "c")]
     pub changes: Vec<ObjectChange>,
+    /// All other states that objects had in between, those of objects that came and went included; `None` if some may
+    /// be unknown, as in differences of older builds.
+    #[serde(rename = "h", default, skip_serializing_if = "Option::is_none")]
+    pub history: Option<Vec<PastState>>,
 }
 
 #[derive(Debug)]
@@ -67,6 +73,17 @@
     content: Arc<str>,
 }
 
+impl StoredObject {
+    /// The state that the object of this name had.
+    fn past(self, name: SmolStr) -> PastState {
+        PastState {
+            name,
+            revision: self.revision,
+            content: self.content,
+        }
+    }
+}
+
 /// A copy of the objects of one kind.
 #[derive(Debug, Default)]
 pub struct Replica {
@@ -74,6 +91,7 @@
     objects: BTreeMap<SmolStr, StoredObject>,
     /// Removed objects, with the position of the copy with which that became known.
     removed: BTreeMap<SmolStr, Position>,
+    history: ObjectHistory,
     /// Objects that were removed up to this position may be unknown.
     floor: Position,
     /// No change after this position is part of the copy.
@@ -112,7 +130,12 @@
     /// Applies a difference. Returns `false`, and changes nothing, if it leads to no later position or
     /// follows one that this copy hasn't reached.
     pub fn merge(&mut self, difference: Difference) -> bool {
-        let Difference { from, to, changes } = difference;
+        let Difference {
+            from,
+            to,
+            changes,
+            history,
+        } = difference;
         let newer = self.position.is_none_or(|own| to > own);
         let connected = match (from, self.position) {
             (None, _) => true,
@@ -122,6 +145,14 @@
         if !newer || !connected {
             return false;
         }
+        match history {
+            Some(states) if from.is_some() => {
+                for state in states {
+                    self.history.insert(state);
+                }
+            }
+            _ => self.history.restart(to.revision),
+        }
         if from.is_none() {
             self.remove_all_but(&changes, to);
             self.objects.clear();
@@ -163,6 +194,7 @@
             from,
             to,
             changes: stored.chain(removed).collect(),
+            history: from.and_then(|from| self.history.after(from.revision)),
         })
     }
 
@@ -181,14 +213,21 @@
 
     fn apply(&mut self, change: ObjectChange, to: Position) {
         let Some(content) = change.content else {
-            self.objects.remove(&change.name);
+            if let Some(last) = self.objects.remove(&change.name) {
+                self.history.insert(last.past(change.name.clone()));
+            }
             self.removed.insert(change.name, to);
             self.last_change = to;
             return;
         };
+        let object = StoredObject {
+            revision: change.revision,
+            content,
+        };
         let known = self.objects.get(&change.name);
         if known.is_some_and(|known| known.revision > change.revision) {
             // A list may contain changes that were made while it was read.
+            self.history.insert(object.past(change.name));
             return;
         }
         let changed = Position {
@@ -197,11 +236,10 @@
         };
         self.last_change = self.last_change.max(changed.min(to));
         self.removed.remove(&change.name);
-        let object = StoredObject {
-            revision: change.revision,
-            content,
-        };
-        self.objects.insert(change.name, object);
+        let replaced = self.objects.insert(change.name.clone(), object);
+        if let Some(replaced) = replaced.filter(|r| r.revision < change.revision) {
+            self.history.insert(replaced.past(change.name));
+        }
     }
 
     fn forget_removed(&mut self) {
--- a/crates/router/src/fleet/version_records.rs
+++ b/crates/router/src/fleet/version_records.rs
@@ -1,7 +1,7 @@
 //! Keeps in a store since when each service has had one software version only, so that instances which all start anew
 //! know whether a stream can have begun at another one.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::fmt::Display;
 use std::future::Future;
 use std::sync::Arc;
@@ -13,7 +13,7 @@
 use crate::config::changelog;
 use crate::event::Line;
 use crate::fleet::links::{self, StoreRole};
-use crate::load::pool::Pool;
+use crate::load::pool::{CommonVersion, Pool};
 use crate::node::Node;
 
 /// Time between two comparisons of the versions with their records.
@@ -70,7 +70,7 @@
         };
         tokio::select! {
             () = time::sleep(wait) => {}
-            () = node.version_demand.notified(), if !records.listed => {
+            () = node.version_demand.notified(), if !records.wanted => {
                 records.wanted = true;
             }
         }
@@ -83,11 +83,10 @@
     first_start: bool,
     /// Whether a caller needs them although this instance doesn't write them.
     wanted: bool,
-    listed: bool,
-    /// Records that were in the store at the start, of services that aren't known yet.
-    unapplied: HashMap<SmolStr, VersionRecord>,
-    /// The versions that the store has.
-    known: HashMap<SmolStr, Option<SmolStr>>,
+    /// The services whose records, if any, were read.
+    read: HashSet<SmolStr>,
+    /// The versions that the store has, as of which of their changes.
+    known: HashMap<SmolStr, CommonVersion>,
 }
 
 impl Records {
@@ -97,41 +96,59 @@
         store: &S,
         writes: bool,
     ) -> Result<(), S::Error> {
-        if !self.listed && (writes || self.wanted) {
-            for record in store.list().await? {
-                let service = record.service.clone();
-                self.known.insert(service.clone(), record.version.clone());
-                self.unapplied.insert(service, record);
-            }
-            self.listed = true;
-        }
-        if !self.listed {
-            return Ok(());
+        let pools = node.pools.all();
+        let seen = |p: &Arc<Pool>| p.common_version().is_some();
+        let pools: Vec<Arc<Pool>> = pools.into_iter().filter(seen).collect();
+        let unread = pools.iter().any(|p| !self.read.contains(p.name()));
+        if unread && (writes || self.wanted) {
+            self.read(&pools, store.list().await?);
         }
-        for pool in node.pools.all() {
-            if let Some(record) = self.unapplied.remove(pool.name()) {
-                apply(&pool, &record);
-            }
-            if writes {
-                self.write_change(&pool, store).await?;
+        if writes {
+            for pool in &pools {
+                self.write_change(pool, store).await?;
             }
         }
         Ok(())
     }
 
+    /// Applies the records of pools whose servers were seen before the records were read: what came in between would
+    /// be unknown otherwise.
+    fn read(&mut self, pools: &[Arc<Pool>], records: Vec<VersionRecord>) {
+        let mut records: HashMap<SmolStr, VersionRecord> = records
+            .into_iter()
+            .map(|r| (r.service.clone(), r))
+            .collect();
+        for pool in pools {
+            let service = pool.name();
+            if !self.read.insert(service.clone()) {
+                continue;
+            }
+            let Some((record, seen)) = records.remove(service).zip(pool.common_version()) else {
+                continue;
+            };
+            apply(pool, &record);
+            let known = CommonVersion {
+                version: record.version,
+                ..seen
+            };
+            self.known.insert(service.clone(), known);
+        }
+    }
+
     async fn write_change<S: VersionStore>(
         &mut self,
         pool: &Pool,
         store: &S,
     ) -> Result<(), S::Error> {
-        let Some(version) = pool.seen_version() else {
+        let Some(common) = pool.common_version() else {
             return Ok(());
         };
         let service = pool.name().clone();
         let known = self.known.get(&service);
-        if known == Some(&version) {
+        if known == Some(&common) {
             return Ok(());
         }
+        let version = &common.version;
         // Nothing was before, unless this instance has itself seen another version.
         let since_ever = known.is_none()
             && self.first_start
@@ -145,7 +162,7 @@
             since_ms,
         };
         store.put(&record).await?;
-        self.known.insert(service, version);
+        self.known.insert(service, common);
         Ok(())
     }
 }
--- a/crates/router/src/load/pool.rs
+++ b/crates/router/src/load/pool.rs
@@ -49,7 +49,8 @@
 pub use permit::Permit;
 
 use state::{State, Waiter};
-use versions::SeenVersions;
+pub use versions::CommonVersion;
+use versions::VersionHistory;
 
 new_key_type! {
     /// Key of a request that holds a permit.
@@ -107,7 +108,7 @@
             preemption,
             queue: Queue::default(),
             servers: SlotMap::with_key(),
-            seen_versions: SeenVersions::default(),
+            versions: VersionHistory::default(),
             grants: SlotMap::with_key(),
             classes: HashMap::new(),
             floors: AdmissionFloors::default(),
@@ -151,7 +152,7 @@
     pub fn update_servers(self: &Arc<Self>, declared: &[&BackendServer], data_centre: &str) {
         let now = Instant::now();
         let mut state = self.lock();
-        state.seen_versions.update(declared, now);
+        state.versions.update(declared, now);
         let removed: Vec<ServerId> = state
             .servers
             .iter()
--- a/crates/router/src/load/pool/state.rs
+++ b/crates/router/src/load/pool/state.rs
@@ -11,7 +11,7 @@
 use tokio::time::Instant;
 
 use super::crashes::Loss;
-use super::versions::SeenVersions;
+use super::versions::VersionHistory;
 use super::{AdmissionRequest, Directive, GrantId, Permit, Preemption, ServerId};
 use crate::config::object::Level;
 use crate::error::{Fault, Kind};
@@ -98,7 +98,7 @@
     pub(super) preemption: Preemption,
     pub(super) queue: Queue<Waiter>,
     pub(super) servers: SlotMap<ServerId, Server>,
-    pub(super) seen_versions: SeenVersions,
+    pub(super) versions: VersionHistory,
     pub(super) grants: SlotMap<GrantId, Grant>,
     pub(super) classes: HashMap<SmolStr, ClassStats>,
     pub(super) floors: AdmissionFloors,
--- a/crates/router/src/load/pool/versions.rs
+++ b/crates/router/src/load/pool/versions.rs
@@ -21,9 +21,9 @@
 /// Retry delay advised when there is none.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
 
-/// What is known of the servers' versions.
+/// The versions that the servers have, and for how long.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub(super) enum SeenVersions {
+enum SeenVersions {
     /// No server was declared yet.
     #[default]
     Unseen,
@@ -35,13 +35,13 @@
 
 /// The version of all servers.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(super) struct SingleVersion {
+struct SingleVersion {
     version: SmolStr,
     /// Since when this instance has seen it.
     seen: Instant,
     /// For how long all servers are known to have had it before.
     before: Duration,
-    /// Whether this instance has seen no other since it started.
+    /// Whether this instance has seen no other since it started, and can't have missed one.
     first: bool,
 }
 
@@ -53,25 +53,67 @@
 }
 
 impl SeenVersions {
-    /// Takes into account that the servers are now `declared`.
-    pub(super) fn update(&mut self, declared: &[&BackendServer], now: Instant) {
+    /// The version of all servers, if they have one.
+    fn version(&self) -> Option<&SmolStr> {
+        match self {
+            Self::Single(single) => Some(&single.version),
+            Self::Unseen | Self::Mixed => None,
+        }
+    }
+
+    /// What follows if the servers are now `declared`.
+    fn next(&self, declared: &[&BackendServer], now: Instant) -> Self {
         let Some((first, others)) = declared.split_first() else {
-            return;
+            return self.clone();
         };
         let same = others.iter().all(|s| s.version == first.version);
         let version = first.version.clone().filter(|_| same);
-        *self = match (std::mem::take(self), version) {
-            (Self::Single(single), Some(version)) if single.version == version => {
-                Self::Single(single)
-            }
+        match (self, version) {
+            (Self::Single(single), Some(version)) if single.version == version => self.clone(),
             (before, Some(version)) => Self::Single(SingleVersion {
                 version,
                 seen: now,
                 before: Duration::ZERO,
-                first: before == Self::Unseen,
+                first: *before == Self::Unseen,
             }),
             (_, None) => Self::Mixed,
-        };
+        }
+    }
+}
+
+/// The versions of one pool's servers since the instance started.
+#[derive(Debug, Default)]
+pub(super) struct VersionHistory {
+    seen: SeenVersions,
+    /// Number of changes.
+    changes: u64,
+}
+
+/// What all servers of a pool have in common.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CommonVersion {
+    /// Their version; `None` if there are several versions or servers without one.
+    pub version: Option<SmolStr>,
+    /// Number of changes since the instance started, those that were undone at once included.
+    pub changes: u64,
+}
+
+impl VersionHistory {
+    /// Takes into account that the servers are, or were for a while, those `declared`.
+    pub(super) fn update(&mut self, declared: &[&BackendServer], now: Instant) {
+        let next = self.seen.next(declared, now);
+        let changed = self.seen != SeenVersions::Unseen && self.seen.version() != next.version();
+        self.changes += u64::from(changed);
+        self.seen = next;
+    }
+
+    /// Takes into account that servers of other versions may have been there until now.
+    fn restart(&mut self, now: Instant) {
+        if let SeenVersions::Single(single) = &mut self.seen {
+            single.seen = now;
+            single.before = Duration::ZERO;
+            single.first = false;
+        }
     }
 }
 
@@ -79,26 +121,40 @@
     /// The version that all servers have had for `time` or longer, those that were removed meanwhile included.
     #[must_use]
     pub fn only_version(&self, time: Duration) -> Option<SmolStr> {
-        match &self.lock().seen_versions {
+        match &self.lock().versions.seen {
             SeenVersions::Single(single) if single.age() >= time => Some(single.version.clone()),
             SeenVersions::Unseen | SeenVersions::Single(_) | SeenVersions::Mixed => None,
         }
     }
 
-    /// The version of all servers: `None` as long as none was seen, `Some(None)` if there are several versions.
+    /// What all servers have in common; `None` as long as none was seen.
     #[must_use]
-    pub fn seen_version(&self) -> Option<Option<SmolStr>> {
-        match &self.lock().seen_versions {
-            SeenVersions::Unseen => None,
-            SeenVersions::Single(single) => Some(Some(single.version.clone())),
-            SeenVersions::Mixed => Some(None),
-        }
+    pub fn common_version(&self) -> Option<CommonVersion> {
+        let state = self.lock();
+        let VersionHistory { seen, changes } = &state.versions;
+        (*seen != SeenVersions::Unseen).then(|| CommonVersion {
+            version: seen.version().cloned(),
+            changes: *changes,
+        })
+    }
+
+    /// Takes into account that `server` was there for a while and is gone, or has changed since. Streams may have begun at
+    /// it through other instances.
+    pub fn record_past_server(&self, server: &BackendServer) {
+        let now = Instant::now();
+        self.lock().versions.update(&[server], now);
+    }
+
+    /// Takes into account that servers may have come and gone unnoticed until now.
+    pub fn restart_versions(&self) {
+        let now = Instant::now();
+        self.lock().versions.restart(now);
     }
 
     /// Takes into account that all servers have had this version for `time`, which may reach back before the instance
-    /// first saw any. Returns `false` if it has seen another one.
+    /// first saw any. Returns `false` if it has seen another one, or may have missed one.
     pub fn trust_version(&self, version: &str, time: Duration) -> bool {
-        match &mut self.lock().seen_versions {
+        match &mut self.lock().versions.seen {
             SeenVersions::Single(single) if single.first && single.version == version => {
                 single.before = time.saturating_sub(single.seen.elapsed());
                 true
--- a/crates/router/src/load/pools.rs
+++ b/crates/router/src/load/pools.rs
@@ -361,6 +361,17 @@
         self.apply_leaving(&pool);
     }
 
+    /// Takes into account that `server`, of the pool `name`, was there for a while and is gone, or has changed since.
+    pub fn record_past_server(
+        &self,
+        metrics: &Arc<Metrics>,
+        name: &SmolStr,
+        server: &BackendServer,
+    ) {
+        let pool = self.get_or_create(metrics, name, Preemption::ByServer);
+        pool.record_past_server(server);
+    }
+
     fn get_or_create(
         &self,
         metrics: &Arc<Metrics>,
--- a/crates/router/tests/frames.rs
+++ b/crates/router/tests/frames.rs
@@ -222,6 +222,7 @@
                 revision: 12,
                 content: Some(content.into()),
             }],
+            history: None,
         },
     };
 
--- a/crates/router/tests/replicas.rs
+++ b/crates/router/tests/replicas.rs
@@ -39,6 +39,7 @@
         from: from.map(at),
         to: at(to),
         changes,
+        history: from.map(|_| Vec::new()),
     }
 }
 
@@ -185,6 +186,86 @@
     assert_eq!(objects(&copy), [("a".into(), 12)]);
 }
 
+/// The past states that a difference names, or `None` if it doesn't name all.
+fn past(difference: &Difference) -> Option<Vec<(String, Revision)>> {
+    let states = difference.history.as_ref()?.iter();
+    Some(states.map(|s| (s.name.to_string(), s.revision)).collect())
+}
+
+/// A difference named the last state of each object only, so that what came and went in between, or changed twice, was
+/// unknown to all that are behind.
+#[test]
+fn difference_names_all_states_since_its_position() {
+    let changes = vec![
+        put("b", 11),
+        put("c", 12),
+        removal("c"),
+        put("b", 14),
+        put("a", 15),
+    ];
+    let ahead = replica([
+        difference(None, 10, vec![put("a", 3), put("b", 4)]),
+        difference(Some(10), 15, changes),
+    ]);
+    let mut behind = replica([difference(None, 10, vec![put("a", 3), put("b", 4)])]);
+
+    let from_store = ahead.difference(Some(at(10))).expect("a difference");
+    behind.merge(from_store.clone());
+    let from_peer = behind.difference(Some(at(10))).expect("a difference");
+    let later = behind.difference(Some(at(12))).expect("a difference");
+
+    let names = |states: &[(&str, Revision)]| {
+        let states = states.iter().map(|(name, at)| ((*name).to_owned(), *at));
+        Some(states.collect::<Vec<_>>())
+    };
+    assert_eq!(past(&from_store), names(&[("b", 11), ("c", 12)]));
+    assert_eq!(past(&from_peer), names(&[("b", 11), ("c", 12)]));
+    assert_eq!(past(&later), names(&[]));
+}
+
+/// What a list replaces, or a difference of an older build, doesn't say what was in between.
+#[test]
+fn difference_across_a_gap_says_that_states_are_unknown() {
+    let older_build = Difference {
+        history: None,
+        ..difference(Some(10), 20, vec![put("a", 18)])
+    };
+    for lossy in [difference(None, 20, vec![put("a", 18)]), older_build] {
+        let copy = replica([
+            difference(None, 10, vec![put("a", 3)]),
+            difference(Some(10), 12, vec![put("a", 11)]),
+            lossy,
+            difference(Some(20), 25, vec![put("b", 24)]),
+        ]);
+
+        let across = copy.difference(Some(at(12))).expect("a difference");
+        let after = copy.difference(Some(at(20))).expect("a difference");
+
+        assert_eq!(past(&across), None);
+        assert_eq!(past(&after), Some(vec![]));
+    }
+}
+
+/// A copy remembers past states up to a bound, and says so where it has forgotten some.
+#[test]
+fn forgotten_states_are_not_taken_for_none() {
+    let large = |revision| ObjectChange {
+        content: Some("x".repeat(600 << 10).into()),
+        ..put("a", revision)
+    };
+    let changes = vec![large(11), large(12), large(13)];
+    let copy = replica([
+        difference(None, 10, vec![put("a", 3)]),
+        difference(Some(10), 13, changes),
+    ]);
+
+    let all = copy.difference(Some(at(10))).expect("a difference");
+    let last = copy.difference(Some(at(11))).expect("a difference");
+
+    assert_eq!(past(&all), None);
+    assert_eq!(past(&last), Some(vec![("a".into(), 12)]));
+}
+
 /// The changes of a store, each of one of eight objects.
 fn history(changes: Vec<(u8, bool)>) -> Vec<Difference> {
     let changes = (1..).zip(changes);
--- a/crates/router/tests/store_fleet.rs
+++ b/crates/router/tests/store_fleet.rs
@@ -65,6 +65,7 @@
             revision: to,
             content: Some(format!("at {to}").into()),
         }],
+        history: from.map(|_| Vec::new()),
     }
 }
 
--- a/crates/router/tests/version_records.rs
+++ b/crates/router/tests/version_records.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use jackdawtally::changelog;
 use jackdawtally::fleet::version_records::{self, VersionRecord, VersionStore};
 use jackdawtally::node::Node;
 use jackdawtally::object::BackendServer;
@@ -101,3 +102,45 @@
     assert_eq!(record.version.as_deref(), Some("v2"));
     assert_ne!(record.since_ms, 0);
 }
+
+/// A version came and went between two comparisons with the record, which kept naming the other one as the only version
+/// for long. Instances that started later continued its streams at the other version.
+#[tokio::test(start_paused = true)]
+async fn version_that_comes_and_goes_at_once_is_recorded() {
+    let (node, store) = (common::node(), Arc::new(Store::default()));
+    store.set_works();
+    declare(&node, "v1");
+    start(&node, &store);
+    time::sleep(WRITE_TIME).await;
+
+    declare(&node, "v2");
+    declare(&node, "v1");
+    time::sleep(WRITE_TIME).await;
+
+    let record = store.record().expect("a record");
+    assert_eq!(record.version.as_deref(), Some("v1"));
+    assert_ne!(record.since_ms, 0);
+}
+
+/// A record was read before any server was known, and trusted for the version that came first, however late.
+#[tokio::test(start_paused = true)]
+async fn record_that_is_older_than_the_list_of_servers_is_read_again() {
+    let (node, store) = (common::node(), Arc::new(Store::default()));
+    store.set_works();
+    let record = |version: &str, since_ms| VersionRecord {
+        service: "s".into(),
+        version: Some(version.into()),
+        since_ms,
+    };
+    store.put(&record("v1", 0)).await.expect("it works");
+    start(&node, &store);
+    time::sleep(WRITE_TIME).await;
+
+    let recently = changelog::now_ms();
+    store.put(&record("v1", recently)).await.expect("it works");
+    declare(&node, "v1");
+    time::sleep(WRITE_TIME).await;
+
+    let pool = node.pools.get("s").expect("the pool is there");
+    assert_eq!(pool.only_version(Duration::from_mins(1)), None);
+}
--- a/crates/router/tests/versions.rs
+++ b/crates/router/tests/versions.rs
@@ -218,3 +218,43 @@
     assert!(!trusted);
     assert_eq!(pool.only_version(window), None);
 }
+
+/// A server that was there for a while, unseen by this instance, may have begun streams at other instances.
+#[tokio::test(start_paused = true)]
+async fn only_version_counts_from_when_a_past_server_is_known() {
+    let window = Duration::from_secs(16);
+    let pool = pool(&[("a", Some("v1"))]);
+    pool.trust_version("v1", window);
+    let same = server("b", Some("v1"), 2);
+    pool.record_past_server(&same);
+    let before = pool.only_version(window);
+
+    pool.record_past_server(&server("c", Some("v2"), 3));
+    pool.update_servers(&[&server("a", Some("v1"), 1)], "north");
+    let trusted = pool.trust_version("v1", window);
+    tokio::time::sleep(Duration::from_secs(15)).await;
+    let early = pool.only_version(window);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let late = pool.only_version(window);
+
+    assert_eq!(before.as_deref(), Some("v1"));
+    assert!(!trusted);
+    assert_eq!((early, late.as_deref()), (None, Some("v1")));
+}
+
+/// Servers may have come and gone unnoticed: what was known before proves nothing.
+#[tokio::test(start_paused = true)]
+async fn only_version_counts_from_a_gap_in_what_is_known() {
+    let window = Duration::from_secs(16);
+    let pool = pool(&[("a", Some("v1"))]);
+    pool.trust_version("v1", window);
+
+    pool.restart_versions();
+    let trusted = pool.trust_version("v1", window);
+    let early = pool.only_version(window);
+    tokio::time::sleep(window).await;
+    let late = pool.only_version(window);
+
+    assert!(!trusted);
+    assert_eq!((early, late.as_deref()), (None, Some("v1")));
+}
