--- a/crates/router/src/load/pool/brittle_servers.rs
+++ b/crates/router/src/load/pool/brittle_servers.rs
@@ -79,7 +79,7 @@
         state.shares_assigned = brittle;
         state.assign_shares();
         let shares = state.servers.values().filter_map(Server::slot_share);
-        let slots: u32 = shares.map(SlotShare::slots).sum();
+        let slots: u64 = shares.map(|s| u64::from(s.slots())).sum();
         let (counter, text) = if brittle {
             ("brittle.begun", "begun")
         } else {
--- a/crates/router/src/load/pool/prompts.rs
+++ b/crates/router/src/load/pool/prompts.rs
@@ -125,9 +125,9 @@
 
     /// Mean number of slots of the servers; 1 without servers.
     fn mean_slots(&self) -> f64 {
-        let slots: u32 = self.servers.values().map(|s| s.declared.slots).sum();
+        let slots = self.servers.values().map(|s| f64::from(s.declared.slots));
         let servers = u32::try_from(self.servers.len()).unwrap_or(u32::MAX);
-        f64::from(slots.max(1)) / f64::from(servers.max(1))
+        slots.sum::<f64>().max(1.0) / f64::from(servers.max(1))
     }
 
     /// Records a pause between two events of a response from `server`.
--- a/crates/router/tests/brittleness.rs
+++ b/crates/router/tests/brittleness.rs
@@ -101,6 +101,19 @@
     );
 }
 
+/// Entries of another writer name more slots than a sum of them can hold.
+#[tokio::test(start_paused = true)]
+async fn numbers_of_slots_out_of_range_stop_no_instance() {
+    let names = names(1);
+    let pool = pool(&names[0], &names);
+    let servers = ["a", "b"].map(|name| common::backend_server(name, u32::MAX));
+    pool.update_servers(&servers.iter().collect::<Vec<_>>(), "north");
+
+    pool.tick();
+
+    assert!(pool.acquire(common::admission()).await.is_ok());
+}
+
 /// Each instance sent as much as the server had slots: in a burst at all of them, servers turned requests away and
 /// fell over.
 #[tokio::test(start_paused = true)]
