Believe a refusal only if it names the request that it answers (REFUSED)

Evidence: attempts=…:not_run of a request that the server ran; successes with another id ended as foreign all along. Ruled out: early reuse of the connection, as the answer before was read to its end.

A refusal that names no request isn't believed either, as servers echo the id in all answers. What it says of load, rest, limits or leaving isn't recorded.

--- a/crates/router/src/forward/attempt.rs
+++ b/crates/router/src/forward/attempt.rs
@@ -103,12 +103,12 @@
             return Err(Failure::NoAnswer);
         }
     };
-    if let Some(report) = protocol.load_report(&response.head.headers) {
-        permit.record_load(report);
-    }
     let class = protocol.classify(request, &response.head);
     record_rate_limit(protocol, request, permit, &response, class);
     if matches!(class, ResponseClass::Answered | ResponseClass::NotRun) {
+        if let Some(report) = protocol.load_report(&response.head.headers) {
+            permit.record_load(report);
+        }
         let brittle = protocol.is_brittle(&response.head.headers);
         permit.record_brittleness(brittle, class == ResponseClass::NotRun);
         record_rest(permit, protocol.rest(&response.head), &request.id);
--- a/crates/router/src/request/backend.rs
+++ b/crates/router/src/request/backend.rs
@@ -103,6 +103,13 @@
     }
 }
 
+/// Whether a response with these headers names the request `id` as the one that it belongs to.
+#[must_use]
+pub fn names_request(headers: &HeaderMap, id: &str) -> bool {
+    let named = headers.get(REQUEST_ID_HEADER);
+    named.is_some_and(|named| named.as_bytes() == id.as_bytes())
+}
+
 /// Parses the load header of a response; `None` when it is absent or malformed.
 #[must_use]
 pub fn parse_load(headers: &HeaderMap) -> Option<LoadReport> {
--- a/crates/router/src/request/relay.rs
+++ b/crates/router/src/request/relay.rs
@@ -237,16 +237,16 @@
             Ok(response) => response,
             Err(result) => return result,
         };
-        if let Some(report) = backend::parse_load(&response.head.headers) {
+        let headers = &response.head.headers;
+        if !backend::names_request(headers, &expected_id) {
+            return self.handle_mismatch(permit);
+        }
+        if let Some(report) = backend::parse_load(headers) {
             permit.record_load(report);
         }
         if response.head.status != StatusCode::OK {
             return self.handle_error_response(permit, response, resumed).await;
         }
-        let echoed_id = response.head.headers.get(backend::REQUEST_ID_HEADER);
-        if echoed_id.is_none_or(|id| id.as_bytes() != expected_id.as_bytes()) {
-            return self.handle_mismatch(permit);
-        }
         self.read_stream(permit, response).await
     }
 
@@ -261,6 +261,9 @@
         headers.insert("x-keep-ms", HeaderValue::from_static(STREAM_RETENTION_MS));
         let held_here = self.held.take_if(|h| h.server_name == permit.declared.name);
         if let Some(held) = &held_here {
+            if let Ok(value) = HeaderValue::from_str(&held.stream_id) {
+                headers.insert(backend::REQUEST_ID_HEADER, value);
+            }
             let path = format!(
                 "/v1/streams/{}?after={}&priority={}",
                 held.stream_id, held.offset, permit.priority
--- a/crates/router/src/request/service.rs
+++ b/crates/router/src/request/service.rs
@@ -198,19 +198,19 @@
         body: Bytes,
     ) -> Result<Option<Response<Body>>, Fault> {
         let head = &response.head;
+        // A server may send any response once more, also the refusal of an earlier request.
+        if !backend::names_request(&head.headers, id) {
+            self.admitted.node.metrics.count("backend.crossed");
+            log::warn!("server={} answer=crossed", permit.declared.name);
+            permit.record_failure(false);
+            return self.retry_or_fail("the backend server sent the response of another request");
+        }
         let ran = head.headers.get(backend::RAN_HEADER);
         let not_run = ran.is_some_and(|v| v == "no");
         if not_run && head.status == StatusCode::SERVICE_UNAVAILABLE {
             self.clear_dispatched();
             return Ok(None);
         }
-        let echoed_id = head.headers.get(backend::REQUEST_ID_HEADER);
-        if echoed_id.is_none_or(|e| e.as_bytes() != id.as_bytes()) {
-            self.admitted.node.metrics.count("backend.crossed");
-            log::warn!("server={} answer=crossed", permit.declared.name);
-            permit.record_failure(false);
-            return self.retry_or_fail("the backend server sent the response of another request");
-        }
         permit.record_completion(1);
         let mut reply = response::json_response(response.head.status, body);
         if let Some(content_type) = response.head.headers.remove(header::CONTENT_TYPE) {
--- a/crates/standins/src/simulated_server.rs
+++ b/crates/standins/src/simulated_server.rs
@@ -139,6 +139,8 @@
     pub delay_percent: AtomicU64,
     /// Share of responses that belong to another request, in percent.
     pub mismatch_percent: AtomicU64,
+    /// Share of requests that run and are answered by the refusal of another one, in percent.
+    pub refusal_percent: AtomicU64,
 }
 
 impl SimulatedServer {
@@ -179,6 +181,7 @@
             step_percent: AtomicU64::new(100),
             delay_percent: AtomicU64::new(0),
             mismatch_percent: AtomicU64::new(0),
+            refusal_percent: AtomicU64::new(0),
         });
         tokio::spawn(Arc::clone(&server).listen(listener));
         tokio::spawn(Arc::clone(&server).run_steps());
@@ -294,15 +297,30 @@
             let mut state = self.lock();
             state.rate_record.arrive(Instant::now(), ANY_INSTANCE);
         }
-        match (request.method(), path.as_str(), stream) {
-            (&Method::GET, "/load", _) => self.load_report(),
+        let id = header(&request, REQUEST_ID_HEADER);
+        let server = Arc::clone(&self);
+        let response = match (request.method(), path.as_str(), stream) {
+            (&Method::GET, "/load", _) => return server.load_report(),
             (&Method::POST, "/v1/chat/completions" | "/v1/completions", _) => {
-                self.start_stream(&request).await
+                server.start_stream(&request).await
             }
-            (&Method::GET, _, Some(id)) => self.resume_stream(id, &request),
-            (&Method::DELETE, _, Some(id)) => self.cancel_stream(id),
-            _ => self.run_service(request).await,
+            (&Method::GET, _, Some(id)) => server.resume_stream(id, &request),
+            (&Method::DELETE, _, Some(id)) => return server.cancel_stream(id),
+            _ => server.run_service(request).await,
+        };
+        if self.draws_refusal() {
+            let refusal = reject(StatusCode::SERVICE_UNAVAILABLE, "full");
+            return with_id(refusal, "jt-another");
+        }
+        if response.headers().contains_key(RAN_HEADER) {
+            return with_id(response, &id);
         }
+        response
+    }
+
+    fn draws_refusal(&self) -> bool {
+        let refuses = self.refusal_percent.load(Ordering::Relaxed) > 0;
+        refuses && self.lock().draw_percent(&self.refusal_percent)
     }
 
     fn load_report(&self) -> Response<Body> {
@@ -459,13 +477,9 @@
 
     fn stream_response(&self, id: &str, events: mpsc::Receiver<Bytes>) -> Response<Body> {
         let load = self.lock().load();
-        let mut response = Response::new(Body::Stream(events));
-        let headers = response.headers_mut();
-        if let Ok(id) = id.parse() {
-            headers.insert(REQUEST_ID_HEADER, id);
-        }
+        let mut response = with_id(Response::new(Body::Stream(events)), id);
         if let Ok(load) = format!("{}/{}", load.running, load.waiting).parse() {
-            headers.insert(LOAD_HEADER, load);
+            response.headers_mut().insert(LOAD_HEADER, load);
         }
         response
     }
@@ -513,11 +527,7 @@
             (tag, id)
         };
         let body = json!({"tag": tag, "done": true}).to_string();
-        let mut response = response::json_response(StatusCode::OK, body.into());
-        if let Ok(id) = id.parse() {
-            response.headers_mut().insert(REQUEST_ID_HEADER, id);
-        }
-        response
+        with_id(response::json_response(StatusCode::OK, body.into()), &id)
     }
 
     /// Runs a step after each step time while there are requests; never returns.
@@ -749,6 +759,14 @@
     value.unwrap_or_default().into()
 }
 
+/// Names the request that a response belongs to.
+fn with_id(mut response: Response<Body>, id: &str) -> Response<Body> {
+    if let Ok(id) = id.parse() {
+        response.headers_mut().insert(REQUEST_ID_HEADER, id);
+    }
+    response
+}
+
 /// Returns an error response with the header that says that the request was not run.
 fn reject(status: StatusCode, reason: &str) -> Response<Body> {
     let body = json!({"error": {"message": reason}}).to_string();
--- a/crates/standins/tests/faults.rs
+++ b/crates/standins/tests/faults.rs
@@ -174,6 +174,40 @@
     assert!(records.iter().all(is_complete), "{records:?}");
 }
 
+/// A server answered requests that it ran with the refusal of an earlier one: their callers were told that they hadn't run,
+/// or other servers ran them again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn refusals_of_other_requests_are_no_promise() {
+    let bed = start_bed().await;
+    for server in &bed.servers {
+        server.refusal_percent.store(50, Ordering::Relaxed);
+    }
+    let callers = callers(&bed);
+    let request = |tag| PlannedRequest {
+        class: "ring-seat".into(),
+        idempotent: false,
+        target: Target::Service("registry"),
+        ..request(tag, 4)
+    };
+
+    let sent: Vec<_> = (1..=20).map(|tag| send(&callers, request(tag))).collect();
+    let mut records = Vec::new();
+    for record in sent {
+        records.push(record.await.expect("the caller task does not panic"));
+    }
+
+    let starts = bed.log.records().starts;
+    bed.stop();
+    for record in &records {
+        let tag = record.request.tag;
+        let runs = starts.iter().filter(|s| s.tag == tag).count();
+        let denied = matches!(&record.outcome, Outcome::Refused { ran, .. } if ran == "no");
+        assert!(runs <= 1 && (runs == 0 || !denied), "{runs}: {record:?}");
+    }
+    let refused = records.iter().filter(|r| !is_complete(r)).count();
+    assert!(refused > 0, "no refusal was sent");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn request_with_idempotency_key_runs_once_despite_a_server_crash() {
     let bed = start_bed().await;
