--- a/crates/router/src/forward/forwarder/responses.rs
+++ b/crates/router/src/forward/forwarder/responses.rs
@@ -1,7 +1,8 @@
 //! Passes the response of a backend server on to the caller.
 
 use bytes::{Bytes, BytesMut};
-use http::{HeaderMap, StatusCode};
+use http::header::CONTENT_TYPE;
+use http::{HeaderMap, HeaderValue, StatusCode, response};
 use tokio::time::Instant;
 
 use super::{AttemptResult, BEGUN_BATCHES, ForwardError, Forwarder};
@@ -14,7 +15,7 @@
 use crate::forward::route::RouteKind;
 use crate::http1::Disconnected;
 use crate::load::pool::Permit;
-use crate::sse::EventSplitter;
+use crate::sse::{Batch, EventIds, EventSplitter};
 
 /// Size limit for buffering a response until it is complete; a larger one is forwarded in chunks.
 const MAX_BUFFERED_BYTES: usize = 256 << 10;
@@ -22,6 +23,9 @@
 /// Size of a response from which it is taken to have no end.
 const MAX_RESPONSE_BYTES: usize = 32 << 20;
 
+/// Media type of event streams.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
 /// A complete response, held in memory.
 pub(super) struct BufferedResponse {
     pub(super) status: StatusCode,
@@ -29,6 +33,28 @@
     pub(super) body: Bytes,
 }
 
+/// How far one response of a stream has come.
+#[derive(Debug, Default)]
+struct Progress {
+    /// Number of batches of events.
+    batches: u64,
+    /// When the last one arrived.
+    last_batch: Option<Instant>,
+}
+
+impl Progress {
+    /// Records that a batch has arrived, and the pause before it for the permit's server.
+    fn record(&mut self, permit: Option<&Permit>) {
+        let now = Instant::now();
+        let last = self.last_batch.replace(now);
+        self.batches += 1;
+        if let Some(permit) = permit {
+            let pause = last.map(|at| now.saturating_duration_since(at));
+            permit.record_batch(pause, self.batches >= BEGUN_BATCHES);
+        }
+    }
+}
+
 impl<P: BackendProtocol> Forwarder<'_, '_, P> {
     /// Receives a response completely, so that it can still be replaced by that of a retry, and sends it to
     /// the caller.
@@ -130,20 +156,26 @@
     }
 
     /// Forwards an event stream. Only complete events are passed on, so that another backend server can
-    /// continue the stream after the last one.
+    /// continue the stream after the last one. A response that doesn't continue a stream that has begun has failed.
     pub(super) async fn forward_stream(
         &mut self,
         permit: Option<&Permit>,
         mut response: BackendResponse,
     ) -> Result<AttemptResult, ForwardError> {
         let status = response.head.status;
-        let mut splitter = EventSplitter::default();
-        let mut batches = 0;
-        let mut last_event: Option<Instant> = None;
+        let begun = self.resume_after.is_some() || !self.response.is_unsent();
+        if begun && !is_event_stream(&response.head) {
+            return Ok(AttemptResult::Failed(Failure::Failed));
+        }
+        let mut splitter = EventSplitter::new(match self.request.route.kind {
+            kind if kind.is_retryable() => EventIds::Required,
+            _ => EventIds::Optional,
+        });
+        let mut progress = Progress::default();
         loop {
             let next = tokio::select! {
                 next = response.next_chunk() => next,
-                () = self.wait_stalled(permit, batches > 0) => {
+                () = self.wait_stalled(permit, progress.batches > 0) => {
                     return Ok(AttemptResult::Failed(Failure::Stalled));
                 }
             };
@@ -157,26 +189,18 @@
                 record_endless(permit);
                 return Ok(AttemptResult::Failed(Failure::Broken));
             }
-            let Some(batch) = splitter.events(self.resume_after) else {
-                continue;
-            };
-            let now = Instant::now();
-            batches += 1;
-            if let Some(permit) = permit {
-                let pause = last_event.map(|at| now.saturating_duration_since(at));
-                permit.record_batch(pause, batches >= BEGUN_BATCHES);
-                self.bind(permit);
-            } else if self.binding == Binding::Any {
-                // The peer knows the version that began the stream.
-                self.binding = Binding::Unknown;
+            if let Some(batch) = splitter.events(self.resume_after) {
+                progress.record(permit);
+                self.forward_batch(permit, &response, batch).await?;
+            }
+            if splitter.is_foreign() {
+                let id = &self.request.id;
+                log::warn!("id={id} stream=broken reason=\"an event has no id\"");
+                return Ok(AttemptResult::Failed(Failure::Failed));
             }
-            last_event = Some(now);
-            self.log.record_events();
-            self.send_events(&response, status, &batch.bytes).await?;
-            self.resume_after = batch.last.or(self.resume_after);
         }
         if let Some(permit) = permit {
-            permit.record_completion(batches);
+            permit.record_completion(progress.batches);
             permit.record_sound();
         }
         if self.response.is_unsent() {
@@ -189,6 +213,26 @@
         Ok(AttemptResult::Done(status))
     }
 
+    /// Passes the next events of a stream on.
+    async fn forward_batch(
+        &mut self,
+        permit: Option<&Permit>,
+        response: &BackendResponse,
+        batch: Batch,
+    ) -> Result<(), Disconnected> {
+        if let Some(permit) = permit {
+            self.bind(permit);
+        } else if self.binding == Binding::Any {
+            // The peer knows the version that began the stream.
+            self.binding = Binding::Unknown;
+        }
+        self.log.record_events();
+        let status = response.head.status;
+        self.send_events(response, status, &batch.bytes).await?;
+        self.resume_after = batch.last.or(self.resume_after);
+        Ok(())
+    }
+
     /// Binds a stream to the version of the server that brings its first events, and records that for when its
     /// caller comes back.
     fn bind(&mut self, permit: &Permit) {
@@ -221,6 +265,14 @@
     }
 }
 
+/// Whether a response can be the rest of an event stream. A server that names no type may mean one.
+fn is_event_stream(head: &response::Parts) -> bool {
+    let named = head.headers.get(CONTENT_TYPE).map(HeaderValue::as_bytes);
+    let media_type = named.and_then(|value| value.split(|b| *b == b';').next());
+    let fits = media_type.is_none_or(|t| t.trim_ascii().eq_ignore_ascii_case(EVENT_STREAM));
+    head.status == StatusCode::OK && fits
+}
+
 /// Records that a server sends bytes without end, so that others get the next requests.
 fn record_endless(permit: Option<&Permit>) {
     if let Some(permit) = permit {
--- a/crates/router/src/sse.rs
+++ b/crates/router/src/sse.rs
@@ -92,14 +92,42 @@
     pub last: Option<u64>,
 }
 
+/// Whether the events of a stream have ids.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum EventIds {
+    /// Some may have none.
+    #[default]
+    Optional,
+    /// Each has one, as the stream can be resumed after it. Anything else but comments is no part of the stream.
+    Required,
+}
+
 /// Splits a byte stream into complete events and leaves their bytes unchanged.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buffer: BytesMut,
     scanned: usize,
+    ids: EventIds,
+    /// Whether an event lacks the required id. It and what follows are left out.
+    foreign: bool,
 }
 
 impl EventSplitter {
+    /// Creates a splitter of a stream whose events have ids or not.
+    #[must_use]
+    pub fn new(ids: EventIds) -> Self {
+        Self {
+            ids,
+            ..Self::default()
+        }
+    }
+
+    /// Whether something was found that is no part of the stream.
+    #[must_use]
+    pub const fn is_foreign(&self) -> bool {
+        self.foreign
+    }
+
     /// Appends the next bytes of the stream.
     ///
     /// # Errors
@@ -125,6 +153,10 @@
         let mut last = after;
         while let Some(event) = self.next_event() {
             let id = event_id(&event);
+            if self.ids == EventIds::Required && id.is_none() && !is_comment(&event) {
+                self.foreign = true;
+                break;
+            }
             if id.is_some() && id <= last {
                 continue;
             }
@@ -160,6 +192,12 @@
     std::str::from_utf8(value).ok()?.trim().parse().ok()
 }
 
+/// Whether all lines of an event are comments, or empty.
+fn is_comment(event: &[u8]) -> bool {
+    let mut lines = event.split(|b| *b == b'\n');
+    lines.all(|line| line.starts_with(b":") || line.trim_ascii().is_empty())
+}
+
 fn value_start(line: &[u8], after_colon: usize) -> usize {
     after_colon + usize::from(line.get(after_colon) == Some(&b' '))
 }
