--- a/crates/router/src/forward/connection_pool.rs
+++ b/crates/router/src/forward/connection_pool.rs
@@ -190,6 +190,11 @@
         }
     }
 
+    /// Closes the connections that aren't in use.
+    pub fn close_idle(&self) {
+        self.lock().clear();
+    }
+
     /// What the connections show of the links to all servers.
     #[must_use]
     pub fn signs(&self) -> Signs {
