Pass no status on that promises more than its server says (REFUSED)

A caller whose request must run once got a server's own 408, 429 or 503 unchanged, and took it for the promise that its request hadn't run, although the server hadn't said so and may have run it. Seen by the review in the code, not in a case.

Cause: only the statement "not executed" was read as a refusal; any other answer with the right id was passed on as it is. The status itself promises something to callers, whoever sends it.

Change: for requests that may not be repeated such an answer counts as a failed run, so that the caller gets 502, also from an instance that the request was passed on to.

--- a/crates/router/src/forward/attempt.rs
+++ b/crates/router/src/forward/attempt.rs
@@ -120,6 +120,7 @@
         ResponseClass::Answered => Ok(response),
         ResponseClass::NotRun => Err(Failure::NotRun),
         ResponseClass::WrongServer => Err(Failure::WrongServer),
+        ResponseClass::Misleading => Err(Failure::Failed),
         ResponseClass::Foreign => Err(Failure::Foreign),
     }
 }
--- a/crates/router/src/forward/backend_protocol.rs
+++ b/crates/router/src/forward/backend_protocol.rs
@@ -44,6 +44,8 @@
     NotRun,
     /// The address belongs to another backend server; the request didn't run.
     WrongServer,
+    /// The request may have run, but the status would tell its caller that it didn't.
+    Misleading,
     /// The response isn't to this request, or not from a backend server.
     Foreign,
 }
--- a/crates/router/src/forward/peer.rs
+++ b/crates/router/src/forward/peer.rs
@@ -158,6 +158,7 @@
                 },
             }),
         }),
+        ResponseClass::Misleading => Err(Failure::Failed.into()),
         ResponseClass::Foreign => Err(Failure::Foreign.into()),
     }
 }
