--- a/crates/router/tests/frames.rs
+++ b/crates/router/tests/frames.rs
@@ -4,6 +4,7 @@
 
 use jackdawtally::claims::{Action, Entry, Operation, Outcome, Progress};
 use jackdawtally::fleet::isolated_instances::IsolationRecord;
+use jackdawtally::fleet::object_history::PastState;
 use jackdawtally::fleet::replica::{Difference, ObjectChange, Position};
 use jackdawtally::fleet::replicas::{
     ConfirmationId, ObjectsPart, ObjectsRequest, ObjectsResponse, ReplicaStatus,
@@ -15,6 +16,7 @@
 use jackdawtally::pools::{BrittlePool, PoolCrashes, PoolDemand, PoolLimits};
 use jackdawtally::quarantine::{self, Suspect};
 use jackdawtally::rate_limit::Notice;
+use serde::{Deserialize, Serialize};
 use uuid::Uuid;
 
 const KEY: &str = "0123456789abcdef";
@@ -231,6 +233,48 @@
     assert_eq!(decoded, Ok(response));
 }
 
+/// A difference as builds before the history of objects have it.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+struct OlderDifference {
+    #[serde(rename = "f")]
+    from: Option<Position>,
+    #[serde(rename = "t")]
+    to: Position,
+    #[serde(rename = "c")]
+    changes: Vec<ObjectChange>,
+}
+
+/// Builds side by side: an older one reads a difference with a history, and what it sends has none.
+#[test]
+fn history_of_objects_is_optional() {
+    let state = PastState {
+        name: "a".into(),
+        revision: 10,
+        content: "x".into(),
+    };
+    let difference = Difference {
+        from: Some(position(9)),
+        to: position(12),
+        changes: vec![],
+        history: Some(vec![state]),
+    };
+    let older = OlderDifference {
+        from: Some(position(9)),
+        to: position(12),
+        changes: vec![],
+    };
+
+    let read_by_older = frame::decode(&frame::encode(&difference));
+    let read_from_older = frame::decode(&frame::encode(&older));
+
+    assert_eq!(read_by_older, Ok(older));
+    let without = Difference {
+        history: None,
+        ..difference
+    };
+    assert_eq!(read_from_older, Ok(without));
+}
+
 #[test]
 fn every_frame_decodes_to_what_was_sealed() {
     let (mut seal, mut open) = seal_pair();
--- a/crates/router/tests/replicas.rs
+++ b/crates/router/tests/replicas.rs
@@ -283,6 +283,29 @@
         .collect()
 }
 
+/// Whether the difference to the end, as the store's reader and a peer of it tell it, names each state since a revision.
+fn difference_names_each_state(changes: Vec<(u8, bool)>, revision: u8) -> bool {
+    let history = history(changes);
+    let known = history.iter().take(usize::from(revision) + 1).cloned();
+    let mut peer = replica(known);
+    let from = peer.position().unwrap_or_default();
+    let reader = replica(history.clone());
+    let from_reader = reader.difference(Some(from)).expect("a difference");
+    peer.merge(from_reader.clone());
+    let from_peer = peer.difference(Some(from)).expect("a difference");
+    let states = history.iter().flat_map(|d| &d.changes);
+    let states = states.filter(|c| c.content.is_some() && c.revision > from.revision);
+    let states: Vec<Revision> = states.map(|c| c.revision).collect();
+    [from_reader, from_peer].into_iter().all(|difference| {
+        let past = past(&difference).expect("no state is unknown");
+        let last = difference.changes.iter().filter(|c| c.content.is_some());
+        let mut named: Vec<Revision> = last.map(|c| c.revision).collect();
+        named.extend(past.iter().map(|(_, revision)| revision));
+        named.sort_unstable();
+        named == states
+    })
+}
+
 /// Whether two instances that read the store at some revisions, and exchange differences in between, end with
 /// what the store had at their revisions.
 fn copies_are_those_of_the_store(changes: Vec<(u8, bool)>, exchanges: Vec<(bool, u8)>) -> bool {
@@ -310,6 +333,11 @@
     property::check(copies_are_those_of_the_store as fn(Vec<(u8, bool)>, Vec<(bool, u8)>) -> bool);
 }
 
+#[test]
+fn differences_name_each_state_in_between() {
+    property::check(difference_names_each_state as fn(Vec<(u8, bool)>, u8) -> bool);
+}
+
 #[tokio::test(start_paused = true)]
 async fn follower_requests_what_it_lacks_from_one_peer_only() {
     let (watcher, copy) = (follower(), follower());
