--- a/crates/router/src/fleet/object_history.rs
+++ b/crates/router/src/fleet/object_history.rs
@@ -32,7 +32,7 @@
     states: BTreeMap<(Revision, SmolStr), Arc<str>>,
     /// Size of the states in bytes of their content.
     bytes: usize,
-    /// States that began up to this position may be unknown.
+    /// States that began up to this revision may be unknown.
     floor: Revision,
 }
 
