--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -147,6 +147,8 @@
             "route",
             "organisation",
             "tier",
+            "route_tier",
+            "priority",
             "config",
             "outcome",
             "cause",
@@ -165,7 +167,7 @@
             "after",
             "rate",
         ],
-        meaning: "a request ended; the outcome is `answered`, `refused`, `cut` or `caller_gone`; `attempts` lists the server and result of each attempt, `events` the number of streamed events and the time since the last, `first_ms` the time to the first, `pause_ms` the longest pause between two, `limits` the rate limit of each server that has one, with this instance's share and the time since it was heard of, `forwarded_by` the instance that passed the request on, as it is cut off from all servers or another one tries requests under which servers crashed (there, `attempts` names this one as `peer:NAME`), `version` the software version that the stream is bound to; a line with `rate=N` represents N such lines",
+        meaning: "a request ended; the outcome is `answered`, `refused`, `cut` or `caller_gone`; `attempts` lists the server and result of each attempt, `events` the number of streamed events and the time since the last, `first_ms` the time to the first, `pause_ms` the longest pause between two, `limits` the rate limit of each server that has one, with this instance's share and the time since it was heard of, `forwarded_by` the instance that passed the request on, as it is cut off from all servers or another one tries requests under which servers crashed (there, `attempts` names this one as `peer:NAME`), `version` the software version that the stream is bound to, `tier` the rank of the request among all, `route_tier` the level of its route, `priority` what each server was told; a line with `rate=N` represents N such lines",
     },
 ];
 
--- a/crates/router/src/forward/access_log.rs
+++ b/crates/router/src/forward/access_log.rs
@@ -13,6 +13,7 @@
 use super::attempt::Failure;
 use super::config_snapshot::ConfigVersion;
 use super::request::Request;
+use crate::config;
 use crate::error::Fault;
 use crate::event::{self, Line};
 use crate::load::pool::Permit;
@@ -55,6 +56,8 @@
     failure: Option<Failure>,
     /// How it counts under the server's rate limit; `None` if it has none.
     usage: Option<Usage>,
+    /// The priority that it was sent with; `None` if it went to another instance.
+    priority: Option<config::object::Level>,
 }
 
 /// The access log entry of one request; written when dropped.
@@ -106,6 +109,7 @@
             started: self.request.received.elapsed(),
             failure: None,
             usage: permit.usage,
+            priority: Some(permit.priority),
         });
     }
 
@@ -116,6 +120,7 @@
             started: self.request.received.elapsed(),
             failure: None,
             usage: None,
+            priority: None,
         });
     }
 
@@ -208,6 +213,15 @@
         (!text.is_empty()).then_some(text)
     }
 
+    /// The priorities that the attempts at servers were sent with; `None` if there were none.
+    fn priorities(&self) -> Option<String> {
+        let attempts = self.attempts.iter();
+        let sent: Vec<String> = attempts
+            .filter_map(|attempt| attempt.priority.map(|p| p.to_string()))
+            .collect();
+        (!sent.is_empty()).then(|| sent.join(","))
+    }
+
     /// Builds the `request.end` line; `rate` is the number of requests that the line stands for.
     fn build_line(&self, rate: u32) -> Line {
         let (status, fault) = match &self.outcome {
@@ -227,6 +241,8 @@
             .field("route", &request.route.name)
             .optional_field("organisation", request.organisation.as_ref())
             .field("tier", request.level)
+            .field("route_tier", request.route.level)
+            .optional_field("priority", self.priorities())
             .field("config", self.config)
             .field("outcome", self.outcome.as_str())
             .optional_field("cause", cause)
