Order requests by their organisation's level and then by their route's (TIER)

Callers saw: urgent requests preempted, or without an answer, while long prompts of less urgent classes ran on at the same servers.

Cause: the level of an organisation replaced that of the route. Of equals, a server preempts the newest and admits the first, whatever its class; the instance's own queue and floors knew no classes either. Class of fault: a key of two parts cut to one.

Change: TierOrder ranks all combinations of levels that a configuration has, the organisation's first, and gives each request its rank, which is what servers are told and what queues and floors go by. More combinations than the ten ranks that servers know share them evenly.

Ruled out: the starvation guard (requests didn't wait at instances: waited_ms=0). Servers that prefill in the order of arrival make first tokens late, but preempt nothing.

--- a/crates/router/src/forward/config_snapshot.rs
+++ b/crates/router/src/forward/config_snapshot.rs
@@ -7,6 +7,7 @@
 use tokio::sync::watch;
 
 use super::route::RouteTable;
+use super::tier_order::TierOrder;
 use crate::config::object::Level;
 use crate::http1::Limits;
 
@@ -18,7 +19,8 @@
 pub struct Organisation {
     /// The organisation's name.
     pub name: SmolStr,
-    /// Priority level of its requests; `None` for that of the route. 0 is the most important.
+    /// Priority level that orders its requests among those of other organisations; `None` for that of the route. 0 is
+    /// the most important.
     pub level: Option<Level>,
 }
 
@@ -31,6 +33,8 @@
     pub routes: RouteTable,
     /// The organisation of each key; `None` if callers need no key on any route.
     pub keys: Option<HashMap<SmolStr, Arc<Organisation>>>,
+    /// How important requests are, by the levels of their organisation and route.
+    pub tiers: TierOrder,
     /// Limits for callers' requests.
     pub limits: Limits,
 }
--- a/crates/router/src/forward/mod.rs
+++ b/crates/router/src/forward/mod.rs
@@ -19,3 +19,4 @@
 pub mod request;
 pub mod retry_after;
 pub mod route;
+pub mod tier_order;
--- a/crates/router/src/forward/request.rs
+++ b/crates/router/src/forward/request.rs
@@ -55,7 +55,7 @@
     pub api_key: Option<SmolStr>,
     /// The instance that passed the request on to this one; `None` if it came from a caller.
     pub forwarded_by: Option<ForwardedBy>,
-    /// The priority level; 0 is the most important.
+    /// The rank among all requests, from the levels of organisation and route; 0 is the most important.
     pub level: Level,
     /// When the last byte of the request was received.
     pub received: Instant,
--- a/crates/router/src/forward/route.rs
+++ b/crates/router/src/forward/route.rs
@@ -66,7 +66,7 @@
     pub latency_target: Duration,
     /// Target for the longest pause between events of a stream; `None` if the route has none.
     pub gap_target: Option<Duration>,
-    /// Priority level of requests whose organisation has none of its own; 0 is the most important.
+    /// Priority level that orders its requests among those of an organisation; 0 is the most important.
     pub level: Level,
     /// Limit on the backend servers that one request may be sent to; at least 1.
     pub max_attempts: u32,
