Answer requests that are still running at the end of the grace period (LOST)

Callers saw: a closed connection, which says nothing. Late requests weren't passed on here (those that are whole later than 2.5 s after the signal get 503 at once; request_that_is_whole_late_in_the_grace_period_is_not_passed_on passes on the code before), but what still ran at the end, as its server was slow, was cut.

Cause: the process exited with these requests. Class of fault: an end that nobody is told of. Change: a last phase, Ending, in which they end with a fault: 502 if they may have run, 503 if not; streams that have begun end incomplete, as before.

--- a/crates/router/src/forward/forwarder.rs
+++ b/crates/router/src/forward/forwarder.rs
@@ -163,14 +163,15 @@
     }
 
     /// Forwards the request and records its outcome. With `Outcome::Refused` nothing was sent to the caller,
-    /// and the error response is left to the function that called this one.
-    pub async fn run(mut self) -> Outcome {
-        let outcome = self.forward().await;
+    /// and the error response is left to the function that called this one. A request that is still running when
+    /// `ending` completes ends with an error.
+    pub async fn run(mut self, ending: impl Future<Output = ()>) -> Outcome {
+        let outcome = self.forward(ending).await;
         self.log.outcome = outcome.clone();
         outcome
     }
 
-    async fn forward(&mut self) -> Outcome {
+    async fn forward(&mut self, ending: impl Future<Output = ()>) -> Outcome {
         if self.request.forwarded_by.is_none() {
             let now = Instant::now();
             self.context.with_budget(self.service, |b| {
@@ -178,10 +179,15 @@
             });
         }
         let expires_at = self.request.expires_at();
-        let error = match time::timeout_at(expires_at, self.run_attempts()).await {
-            Ok(Ok(status)) => return Outcome::Answered(status),
-            Ok(Err(error)) => error,
-            Err(_) => ForwardError::Fault(self.timeout_fault()),
+        let result = tokio::select! {
+            result = self.run_attempts() => Some(result),
+            () = time::sleep_until(expires_at) => None,
+            () = ending => Some(Err(ForwardError::Fault(ending_fault()))),
+        };
+        let error = match result {
+            Some(Ok(status)) => return Outcome::Answered(status),
+            Some(Err(error)) => error,
+            None => ForwardError::Fault(self.timeout_fault()),
         };
         match error {
             ForwardError::Disconnected => Outcome::CallerGone,
@@ -435,6 +441,11 @@
     }
 }
 
+/// Why a request ends with the process. It may have run, unless no attempt was made.
+fn ending_fault() -> Fault {
+    Fault::new(Kind::Draining, "this instance is being stopped").retry_after(RETRY_AFTER)
+}
+
 fn admission(request: &Request) -> AdmissionRequest {
     let route = &request.route;
     let bytes = request.body.len();
--- a/crates/router/src/http1/connection.rs
+++ b/crates/router/src/http1/connection.rs
@@ -43,7 +43,7 @@
 }
 
 /// Shutdown phase of the process.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
     /// Normal operation; connections are kept alive.
     Serving,
@@ -51,6 +51,8 @@
     Draining,
     /// As in `Draining`; idle connections are closed at once.
     Closing,
+    /// The process is about to exit: requests that still wait for their response get an error.
+    Ending,
 }
 
 /// A request that was received completely.
