Count the unstarted requests of all ten ranks separately (TIER)

With ranks from two levels, three of each make nine, and a request of the eighth rank would wait for less important ones at its instance.

Test: all_ranks_that_servers_know_are_told_apart failed before ("a request of level 7 waits").

--- a/crates/router/src/load/server.rs
+++ b/crates/router/src/load/server.rs
@@ -19,7 +19,7 @@
 
 /// Number of priority levels that are counted separately; less important ones are counted with the
 /// last.
-const TRACKED_LEVELS: usize = 8;
+const TRACKED_LEVELS: usize = 10;
 /// Weight of a new sample in the moving average of the inter-token gap.
 const EWMA_WEIGHT: f64 = 0.1;
 /// Age at which the load in a report is given half its weight.
--- a/crates/router/tests/pool.rs
+++ b/crates/router/tests/pool.rs
@@ -148,6 +148,20 @@
     assert_eq!(important.priority, 0);
 }
 
+/// Guards against ranks beyond those counted one by one, whose requests would wait for less important ones.
+#[tokio::test(start_paused = true)]
+async fn all_ranks_that_servers_know_are_told_apart() {
+    for level in 0..9 {
+        let pool = pool(&[("a", 1)]);
+        let _running = occupy(&pool, level).await;
+        let _unstarted = permit(acquire(&pool, admission(level + 1, "o")).await).await;
+
+        let important = acquire(&pool, admission(level, "o")).await;
+
+        assert!(important.is_finished(), "a request of level {level} waits");
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn waiting_requests_are_ordered_by_tier() {
     let pool = pool(&[("a", 1)]);
