--- a/crates/router/src/fleet/mod.rs
+++ b/crates/router/src/fleet/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod advertisement;
 pub mod claims;
+pub mod duties;
 pub mod frame;
 pub mod isolated_instances;
 pub mod leaving_servers;
--- a/crates/router/src/load/mod.rs
+++ b/crates/router/src/load/mod.rs
@@ -18,4 +18,5 @@
 pub mod quarantine;
 pub mod queue;
 pub mod rate_limit;
+pub mod scaling;
 pub mod server;
