Streams that crowd their own servers get more of them

Change: pauses in a class's own responses at its own servers are counted apart and exchanged with the demand; they raise the part's headroom, up to 4. Classes without servers of their own are placed as before.

--- a/crates/router/src/load/demand.rs
+++ b/crates/router/src/load/demand.rs
@@ -33,6 +33,35 @@
 /// Prompt tokens from which a prompt shows the prefill rate; in shorter ones other delays prevail.
 const RATE_PROMPT_MIN: u32 = 512;
 
+/// Pauses between the events of responses, compared with the pause target of a class.
+#[derive(Clone, Copy, Debug, Default)]
+struct Pauses {
+    /// Decayed number of pauses above the target.
+    long: f64,
+    /// Decayed time in which they were counted, in seconds.
+    seconds: f64,
+}
+
+impl Pauses {
+    fn record(&mut self, pause: Duration, target: Duration) {
+        self.seconds += pause.as_secs_f64();
+        if pause > target {
+            self.long += 1.0;
+        }
+    }
+
+    fn decay(&mut self, kept: f64) {
+        self.long *= kept;
+        self.seconds *= kept;
+    }
+
+    /// Fraction of the responses of `duration_s` seconds with a pause above the target.
+    fn disturbed(&self, duration_s: f64) -> f64 {
+        let rate = self.long / self.seconds.max(PAUSE_SECONDS_MIN);
+        1.0 - (-rate * duration_s).exp()
+    }
+}
+
 /// Observed demand of one class.
 #[derive(Clone, Debug)]
 struct ClassDemand {
@@ -46,33 +75,25 @@
     in_flight: f64,
     /// Upper quantile of the requests' prefill times, in ms.
     usual_ms: Quantile,
-    /// Decayed number of pauses above the gap target, in responses of any class at servers that the
-    /// class doesn't have to itself.
-    long_pauses: f64,
-    /// Decayed time in which these pauses were counted, in seconds.
-    pause_seconds: f64,
+    /// Pauses in responses of any class at servers that the class doesn't have to itself.
+    shared_pauses: Pauses,
+    /// Pauses in the class's own responses at the servers of its part.
+    own_pauses: Pauses,
 }
 
 impl ClassDemand {
-    const fn new(gap_target: Option<Duration>) -> Self {
+    fn new(gap_target: Option<Duration>) -> Self {
         Self {
             gap_target,
             requests: 0.0,
             prefill_ms: 0.0,
             in_flight: 0.0,
             usual_ms: Quantile::new(USUAL_PROMPTS, USUAL_PROMPTS_STEP),
-            long_pauses: 0.0,
-            pause_seconds: 0.0,
+            shared_pauses: Pauses::default(),
+            own_pauses: Pauses::default(),
         }
     }
 
-    /// Expected fraction of the class's responses with a pause above the target if the class shared
-    /// all servers. 0 without observations.
-    fn disturbed(&self) -> f64 {
-        let rate = self.long_pauses / self.pause_seconds.max(PAUSE_SECONDS_MIN);
-        1.0 - (-rate * self.duration_s()).exp()
-    }
-
     /// Mean time that a request is in flight, in seconds, by Little's law.
     fn duration_s(&self) -> f64 {
         let rate = self.requests / DECAY.as_secs_f64();
@@ -89,7 +110,8 @@
             prefill_servers: (prefill_s / DECAY.as_secs_f64()) as f32,
             slot_servers: (self.in_flight / slots.max(1.0)) as f32,
             prefill_ms: self.usual_ms.value().unwrap_or_default() as f32,
-            disturbed: self.disturbed() as f32,
+            disturbed: self.shared_pauses.disturbed(self.duration_s()) as f32,
+            crowded: self.own_pauses.disturbed(self.duration_s()) as f32,
         }
     }
 }
@@ -141,16 +163,17 @@
         }
     }
 
-    /// Records a pause between two events of a response of any class. `shared` tells for a class
-    /// whether the server also takes requests of others.
-    pub fn record_pause(&mut self, pause: Duration, shared: impl Fn(&str) -> bool) {
-        for (class, demand) in &mut self.classes {
-            let Some(target) = demand.gap_target.filter(|_| shared(class)) else {
+    /// Records a pause between two events of a response of a class. `shared` tells for a class whether the server also
+    /// takes requests of others.
+    pub fn record_pause(&mut self, pause: Duration, class: &str, shared: impl Fn(&str) -> bool) {
+        for (other, demand) in &mut self.classes {
+            let Some(target) = demand.gap_target else {
                 continue;
             };
-            demand.pause_seconds += pause.as_secs_f64();
-            if pause > target {
-                demand.long_pauses += 1.0;
+            match other {
+                other if shared(other) => demand.shared_pauses.record(pause, target),
+                other if other == class => demand.own_pauses.record(pause, target),
+                _ => {}
             }
         }
     }
@@ -167,8 +190,8 @@
             let present = in_flight.get(class).copied().unwrap_or_default();
             demand.requests *= kept;
             demand.prefill_ms *= kept;
-            demand.long_pauses *= kept_pauses;
-            demand.pause_seconds *= kept_pauses;
+            demand.shared_pauses.decay(kept_pauses);
+            demand.own_pauses.decay(kept_pauses);
             let mean = demand.in_flight * kept + f64::from(present) * (1.0 - kept);
             demand.in_flight = mean.max(f64::from(present));
             demand.requests >= REQUESTS_MIN || present > 0
--- a/crates/router/src/load/fleet_demand.rs
+++ b/crates/router/src/load/fleet_demand.rs
@@ -40,6 +40,10 @@
     /// Fraction of the class's responses with a pause above the target if it shared all servers.
     #[serde(rename = "d")]
     pub disturbed: f32,
+    /// Fraction of the class's responses with a pause above the target at the servers that it has to itself; older
+    /// builds don't send it.
+    #[serde(rename = "o", default)]
+    pub crowded: f32,
 }
 
 impl ClassSummary {
@@ -56,6 +60,7 @@
             self.slot_servers,
             self.prefill_ms,
             self.disturbed,
+            self.crowded,
         ];
         self.gap_ms > 0.0 && values.iter().all(|v| v.is_finite() && *v >= 0.0)
     }
@@ -67,6 +72,7 @@
         approach(&mut self.slot_servers, other.slot_servers);
         approach(&mut self.prefill_ms, other.prefill_ms);
         approach(&mut self.disturbed, other.disturbed);
+        approach(&mut self.crowded, other.crowded);
     }
 }
 
--- a/crates/router/src/load/partition.rs
+++ b/crates/router/src/load/partition.rs
@@ -31,6 +31,11 @@
 const KEEP_RATIO: f64 = 0.1;
 /// Servers of a part relative to its demand, except for the last part, which gets the rest.
 const HEADROOM: f64 = 1.5;
+/// Growth of the headroom of a part all of whose responses miss their pause target: the more requests run at a server,
+/// the longer each of its steps takes.
+const CROWDED_GROWTH: f64 = 8.0;
+/// Largest headroom of a part.
+const HEADROOM_MAX: f64 = 4.0;
 /// Fraction of their share of the servers that parts keep whatever the parts before them need.
 const REST_SHARE_MIN: f64 = 0.6;
 /// Key by which servers are ranked.
@@ -53,6 +58,8 @@
     slot_servers: f64,
     /// Largest fraction of a class's responses that would be disturbed at shared servers.
     disturbed: f64,
+    /// Largest fraction of a class's responses that miss the pause target at servers of the part.
+    crowded: f64,
 }
 
 /// How much a prefill of `prefill_ms` disturbs a response with a pause target of `gap_ms`: 0 for
@@ -188,9 +195,16 @@
             demand: summary.servers().into(),
             slot_servers: summary.slot_servers.into(),
             disturbed: summary.disturbed.into(),
+            crowded: summary.crowded.into(),
         }
     }
 
+    /// Servers of the part relative to its demand.
+    fn headroom(&self) -> f64 {
+        let growth = 1.0 + CROWDED_GROWTH * self.crowded;
+        (HEADROOM * growth).min(HEADROOM_MAX)
+    }
+
     fn join(&mut self, other: Self) {
         self.gap_ms = self.gap_ms.min(other.gap_ms);
         self.prefill_ms = self.prefill_ms.max(other.prefill_ms);
@@ -198,16 +212,16 @@
         self.demand += other.demand;
         self.slot_servers += other.slot_servers;
         self.disturbed = self.disturbed.max(other.disturbed);
+        self.crowded = self.crowded.max(other.crowded);
     }
 }
 
-/// Divides `servers` ranks in proportion to the demand, of which that of all but the last part is
-/// weighted with `HEADROOM`. A part gets at least `HEADROOM` times the slots that its requests take,
-/// as far as the following parts keep `REST_SHARE_MIN` of their share. A border that has moved little
-/// since `before` stays.
+/// Divides `servers` ranks in proportion to the demand, of which that of all but the last part is weighted with its
+/// headroom. A part gets at least its headroom times the slots that its requests take, as far as the following parts
+/// keep `REST_SHARE_MIN` of their share. A border that has moved little since `before` stays.
 fn borders(parts: &[Part], servers: usize, instances: f64, before: &[usize]) -> Vec<usize> {
     let last = parts.len().saturating_sub(1);
-    let weight = |n: usize, p: &Part| p.demand * if n < last { HEADROOM } else { 1.0 };
+    let weight = |n: usize, p: &Part| p.demand * if n < last { p.headroom() } else { 1.0 };
     let weights: Vec<f64> = parts
         .iter()
         .enumerate()
@@ -222,7 +236,7 @@
         let own = weights[index] / total;
         share += own;
         let most = servers_f * (1.0 - (1.0 - share) * REST_SHARE_MIN);
-        let slots = part.slot_servers * instances * HEADROOM;
+        let slots = part.slot_servers * instances * part.headroom();
         border = (border + (own * servers_f).max(slots)).min(most);
         let same_parts = before.len() == last;
         let kept = before
--- a/crates/router/src/load/pool/permit.rs
+++ b/crates/router/src/load/pool/permit.rs
@@ -122,7 +122,7 @@
     /// instance itself was paused.
     pub fn record_pause(&self, pause: Duration) {
         let mut state = self.pool.lock();
-        state.record_pause(self.server, pause, Instant::now());
+        state.record_pause(self.grant, pause, Instant::now());
     }
 
     /// Records a complete response: updates the expected cost of the class and adds to the retry
--- a/crates/router/src/load/pool/prompts.rs
+++ b/crates/router/src/load/pool/prompts.rs
@@ -8,8 +8,8 @@
 use smol_str::SmolStr;
 use tokio::time::Instant;
 
-use super::ServerId;
 use super::state::{Stage, State};
+use super::{GrantId, ServerId};
 use crate::load::placement::{self, Choice, Criteria};
 use crate::load::prompt_placement::{self, Backlog, PoolLoad, Prompt, PromptRequest};
 
@@ -130,14 +130,18 @@
         slots.sum::<f64>().max(1.0) / f64::from(servers.max(1))
     }
 
-    /// Records a pause between two events of a response from `server`.
-    pub(super) fn record_pause(&mut self, server: ServerId, pause: Duration, now: Instant) {
+    /// Records a pause between two events of the response to a request.
+    pub(super) fn record_pause(&mut self, grant: GrantId, pause: Duration, now: Instant) {
         if self.recently_paused(now) || self.has_lost_servers(now) {
             return;
         }
+        let Some(grant) = self.grants.get(grant) else {
+            return;
+        };
         let partition = &self.partition;
+        let class = &grant.attributes.class;
         self.demand
-            .record_pause(pause, |class| partition.shares(server, class));
+            .record_pause(pause, class, |class| partition.shares(grant.server, class));
     }
 
     /// Removes prefixes that servers have probably evicted from their caches.
--- a/crates/router/tests/frames.rs
+++ b/crates/router/tests/frames.rs
@@ -156,6 +156,7 @@
                     slot_servers: 0.25,
                     prefill_ms: 40.0,
                     disturbed: 0.125,
+                    crowded: 0.0,
                 }],
             }),
         },
--- a/crates/router/tests/partition.rs
+++ b/crates/router/tests/partition.rs
@@ -48,6 +48,7 @@
         slot_servers: 0.1,
         prefill_ms: 25.0,
         disturbed,
+        crowded: 0.0,
     }
 }
 
@@ -60,6 +61,7 @@
         slot_servers: 0.05,
         prefill_ms: 180.0,
         disturbed: 0.0,
+        crowded: 0.0,
     }
 }
 
@@ -338,7 +340,7 @@
             demand.record_sent(&class, target, 500);
         }
         for _ in 0..pauses {
-            demand.record_pause(Duration::from_millis(pause_ms), |_| true);
+            demand.record_pause(Duration::from_millis(pause_ms), "tight", |_| true);
         }
         let in_flight = HashMap::from([(class.clone(), 4)]);
         demand.update(&in_flight, start + Duration::from_millis(250));
@@ -369,3 +371,48 @@
     assert_eq!(kept, [1, 2]);
     assert_eq!(shared.parts().len(), 2);
 }
+
+/// Many streams run at the few servers that they have to themselves, whose steps become too long for their pause target.
+#[test]
+fn streams_that_crowd_their_own_servers_get_more_of_them() {
+    let servers = servers(40);
+    let crowded = ClassSummary {
+        crowded: 0.4,
+        ..tight(0.5)
+    };
+
+    let calm = partition(&servers, &[tight(0.5), long()]);
+    let grown = partition(&servers, &[crowded.clone(), long()]);
+
+    let before = size(&calm, &servers, "tight");
+    assert!(size(&grown, &servers, "tight") >= before * 2);
+    assert!(size(&grown, &servers, "long") >= servers.len() / 2);
+    assert_eq!(partition(&servers, &[crowded]).parts().len(), 1);
+}
+
+/// Pauses at the servers that a class has to itself count for that class alone, and not as the cost of sharing.
+#[test]
+fn pauses_at_own_servers_tell_how_crowded_they_are() {
+    let class = SmolStr::new("tight");
+    let mut demand = Demand::default();
+    let start = Instant::now();
+    demand.update(&HashMap::new(), start);
+    for _ in 0..8 {
+        demand.record_sent(&class, Some(Duration::from_millis(200)), 500);
+    }
+
+    for _ in 0..100 {
+        demand.record_pause(Duration::from_millis(250), "other", |_| false);
+    }
+    let calm: Vec<ClassSummary> = demand.summaries(64.0).collect();
+    for _ in 0..100 {
+        demand.record_pause(Duration::from_millis(250), &class, |_| false);
+    }
+    let in_flight = HashMap::from([(class, 4)]);
+    demand.update(&in_flight, start + Duration::from_millis(250));
+    let crowded: Vec<ClassSummary> = demand.summaries(64.0).collect();
+
+    assert!(calm[0].crowded < 0.001);
+    assert!(crowded[0].crowded > 0.9);
+    assert!(crowded[0].disturbed < 0.001);
+}
