Leases of duties, their store port and the calls to the platform

Change: a state machine of a duty's lease without clock or network; a clock that counts suspension; HeldDuty, which implements Permission; the store port over the existing client with reads of one object and conditional writes; the two calls on connections of their own, which ask the permission after connecting and discard what was not sent.

--- a/crates/router/src/fleet/duties/mod.rs
+++ b/crates/router/src/fleet/duties/mod.rs
@@ -3,9 +3,19 @@
 //! The holder of a duty is agreed on in the platform's store and nowhere else. A [`Permission`] is what the holder
 //! shows to its own code before each call; it ends before another instance may take the duty.
 
+pub mod call;
+pub mod clock;
+pub mod counter;
+pub mod held;
+pub mod lease;
+pub mod ledger;
+pub mod store;
+
+use std::collections::BTreeSet;
 use std::future::Future;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
 use crate::load::scaling::Order;
@@ -17,7 +27,7 @@
 pub type WindowId = u64;
 
 /// A duty that one instance performs at a time.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Duty {
     /// Reports how many requests of each organisation servers began in each window.
     UsageReports,
@@ -36,8 +46,21 @@
     }
 }
 
-/// Requests of one organisation that servers began in a window.
+/// The duties of a deployment.
 #[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DutySettings {
+    /// Which duties there are.
+    pub duties: BTreeSet<Duty>,
+    /// Time after which a duty passes to another instance if its holder doesn't renew it.
+    pub lease: Duration,
+    /// Length of a reporting window.
+    pub window: Duration,
+    /// Time after the end of a window in which its report is due.
+    pub due: Duration,
+}
+
+/// Requests of one organisation that servers began in a window.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct OrganisationCount {
     /// Name of the organisation.
     pub organisation: SmolStr,
@@ -46,7 +69,7 @@
 }
 
 /// The report of one window.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct UsageReport {
     /// The window.
     pub window: WindowId,
--- a/crates/router/src/socket.rs
+++ b/crates/router/src/socket.rs
@@ -29,6 +29,15 @@
     socket.set_tcp_keepalive(&keepalive)
 }
 
+/// Makes closing the connection discard the data that wasn't acknowledged, rather than send it again for a while.
+///
+/// # Errors
+/// If the operating system rejects the option.
+pub fn discard_unsent(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    SockRef::from(stream).set_linger(Some(Duration::ZERO))
+}
+
 /// Failure to open a listener.
 #[derive(Debug, thiserror::Error)]
 #[error("failed to listen on {address} for {role}: {source}")]
