The holder of the usage reports counts, collects and sends windows

Change: each instance counts what servers began, by organisation and window; the holder's request for counts floods over the links that exist (protocol 5), replies take the way back; counts are fixed in the store before they are sent. The holder is chosen in rendezvous order; all of it only where the settings name duties.

--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -121,6 +121,23 @@
         fields: &["id", "host", "path", "cause", "config"],
         meaning: "a request was rejected before its route and organisation were determined",
     },
+    EventSpec {
+        name: "duty.lease",
+        fields: &["duty", "state", "token", "reason"],
+        meaning: "whether this instance performs a duty under this fencing token; the state is `taken`, `kept` (again, as nobody else had taken it), `unconfirmed` (a renewal failed and is tried again), `lost` or `handed_over`",
+    },
+    EventSpec {
+        name: "duty.call",
+        fields: &[
+            "duty", "token", "subject", "number", "outcome", "reason", "took_ms",
+        ],
+        meaning: "a call to the platform was made under this fencing token; for a usage report, `subject` is the window and `number` counts its requests; the outcome is `taken` or `failed`",
+    },
+    EventSpec {
+        name: "duty.missed",
+        fields: &["duty", "first", "last"],
+        meaning: "the usage of the windows from `first` to `last` isn't reported any more, as it would be late or may have been reported before the store was restored from an older copy",
+    },
     EventSpec {
         name: "stream.origin",
         fields: &[
--- a/crates/router/src/fleet/duties/lease.rs
+++ b/crates/router/src/fleet/duties/lease.rs
@@ -274,12 +274,11 @@
         self.highest = self.highest.max(record.map_or(0, |r| r.token));
         let unchanged = self.seen.as_ref().filter(|s| s.reading == reading);
         let since = unchanged.map_or(now, |s| s.since);
-        match self.own_token(&reading) {
-            Some(token) => self.confirm(now, &reading, token),
-            None => {
-                self.lose(now);
-                self.adopt(&reading);
-            }
+        if let Some(token) = self.own_token(&reading) {
+            self.confirm(now, &reading, token);
+        } else {
+            self.lose(now);
+            self.adopt(&reading);
         }
         self.seen = Some(Seen {
             reading,
--- a/crates/router/src/fleet/duties/mod.rs
+++ b/crates/router/src/fleet/duties/mod.rs
@@ -5,10 +5,16 @@
 
 pub mod call;
 pub mod clock;
+pub mod collector;
 pub mod counter;
 pub mod held;
+pub mod keeper;
 pub mod lease;
 pub mod ledger;
+pub mod poll;
+pub mod polling;
+pub mod reporter;
+pub mod state;
 pub mod store;
 
 use std::collections::BTreeSet;
--- a/crates/router/src/fleet/frame.rs
+++ b/crates/router/src/fleet/frame.rs
@@ -12,6 +12,7 @@
 
 use crate::config::object::{Change, ChangeNumber, Level, Object};
 use crate::fleet::claims::{Operation, Outcome};
+use crate::fleet::duties::poll::{InstanceCounts, Poll};
 use crate::fleet::isolated_instances::IsolationRecord;
 use crate::fleet::membership::InstanceRecord;
 use crate::fleet::origin::{OriginGroup, OriginQuery, OriginReply};
@@ -20,7 +21,7 @@
 use crate::load::pools::{BrittlePool, PoolCrashes, PoolDemand, PoolLimits};
 
 /// Newest version of the peer protocol that this build supports.
-pub const PROTOCOL: u16 = 4;
+pub const PROTOCOL: u16 = 5;
 /// Oldest version of the peer protocol that this build supports.
 pub const PROTOCOL_MIN: u16 = 1;
 /// First version of the peer protocol by which instances exchange the store's objects.
@@ -134,6 +135,10 @@
     RequestObjects(ObjectsRequest),
     /// A part of the response to `RequestObjects`.
     Objects(ObjectsPart),
+    /// The holder of a duty asks all instances for their counts.
+    PollDuty(Poll),
+    /// The counts of one instance, on their way to the holder of the duty.
+    DutyCounts(InstanceCounts),
 }
 
 impl Frame {
@@ -147,6 +152,7 @@
             | Self::FoundOrigins(_) => 2,
             Self::Crashes(_) | Self::Isolation(_) | Self::Brittle(_) => 3,
             Self::Replicas { .. } | Self::RequestObjects(_) | Self::Objects(_) => REPLICAS_SINCE,
+            Self::PollDuty(_) | Self::DutyCounts(_) => 5,
             _ => 1,
         }
     }
--- a/crates/router/src/fleet/link.rs
+++ b/crates/router/src/fleet/link.rs
@@ -16,6 +16,7 @@
 
 use crate::config::catalogue::Catalogue;
 use crate::config::object::Object;
+use crate::fleet::duties::polling;
 use crate::fleet::frame::{self, Frame, Hello, LinkError, PROTOCOL, PROTOCOL_MIN, Seal, Side};
 use crate::fleet::links::{self, DialOutcome, Registration};
 use crate::fleet::membership::{InstanceRecord, InstanceState};
@@ -470,6 +471,8 @@
             Frame::RequestObjects(request) => {
                 self.send_all(replication::respond(&node, &request)).await?;
             }
+            Frame::PollDuty(poll) => polling::receive(&node, &poll, Some(&self.peer.id)),
+            Frame::DutyCounts(counts) => polling::pass_on(&node, counts),
             Frame::Objects(part) => {
                 let received = self.replication.receive_part(&node, &self.peer.id, &part);
                 received.map_err(Some)?;
--- a/crates/router/src/forward/forwarder.rs
+++ b/crates/router/src/forward/forwarder.rs
@@ -130,6 +130,8 @@
     tried_peers: Vec<InstanceId>,
     /// A server error that is sent to the caller if no retry gets a better response.
     fallback: Option<BufferedResponse>,
+    /// Whether a server is known to have begun the request.
+    begun: bool,
     log: AccessLog<'a>,
 }
 
@@ -158,6 +160,7 @@
             attempts: request.forwarded_by.as_ref().map_or(0, |f| f.attempts),
             tried_peers: Vec::new(),
             fallback: None,
+            begun: false,
             log,
         }
     }
--- a/crates/router/src/forward/forwarder/responses.rs
+++ b/crates/router/src/forward/forwarder/responses.rs
@@ -67,6 +67,9 @@
         if !self.response.is_unsent() {
             return Ok(AttemptResult::Failed(Failure::Failed));
         }
+        if !self.request.route.kind.is_stream() {
+            self.record_begun(permit);
+        }
         let mut body = BytesMut::new();
         loop {
             match response.next_chunk().await {
@@ -191,6 +194,7 @@
             }
             if let Some(batch) = splitter.events(self.resume_after) {
                 progress.record(permit);
+                self.record_begun(permit);
                 self.forward_batch(permit, &response, batch).await?;
             }
             if splitter.is_foreign() {
@@ -213,6 +217,17 @@
         Ok(AttemptResult::Done(status))
     }
 
+    /// Counts the request once a server has begun it. One that was passed on is counted by the instance that sends it.
+    fn record_begun(&mut self, permit: Option<&Permit>) {
+        if permit.is_none() || std::mem::replace(&mut self.begun, true) {
+            return;
+        }
+        let organisation = self.request.organisation.as_ref();
+        if let (Some(duties), Some(organisation)) = (&self.context.node.duties, organisation) {
+            duties.count(organisation);
+        }
+    }
+
     /// Passes the next events of a stream on.
     async fn forward_batch(
         &mut self,
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -10,6 +10,8 @@
 use crate::adapters::platform_http::HttpPlatform;
 use crate::config::changelog::{self, Changelog};
 use crate::fleet::claims::{Claims, Operation, Outcome};
+use crate::fleet::duties::clock::Clocks;
+use crate::fleet::duties::state::Duties;
 use crate::fleet::frame::Frame;
 use crate::fleet::isolated_instances::IsolatedInstances;
 use crate::fleet::leaving_servers::{LeavingNotice, LeavingServers};
@@ -48,6 +50,8 @@
     pub server_list: ListConfirmation,
     /// Notified when a caller takes up a stream and it isn't known which versions served before.
     pub version_demand: Notify,
+    /// Calls to the platform that one instance makes for all; `None` if the deployment has none.
+    pub duties: Option<Duties>,
     /// Where recent streams began.
     pub stream_origins: StreamOrigins,
     /// Pools of backend servers.
@@ -72,6 +76,8 @@
         let metrics = Arc::new(Metrics::new(settings.metrics.statsd));
         let platform = HttpPlatform::new(settings.platform.address, settings.platform.timeout());
         let changelog = Changelog::new(platform.clone(), Arc::clone(&metrics));
+        let duties = settings.duties.as_ref();
+        let duties = duties.map(|d| Duties::new(d, &record, Clocks::default()));
         let window = settings.limits.claim_window_ms;
         let claims = Claims::new(platform.clone(), Arc::clone(&metrics), window);
         Arc::new(Self {
@@ -80,6 +86,7 @@
             isolated: IsolatedInstances::new(&record),
             membership: Arc::new(Membership::new(record)),
             changelog: Arc::new(changelog),
+            duties,
             links: PeerLinks::default(),
             leaving_servers: LeavingServers::default(),
             replicas: Replicas::default(),
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -8,6 +8,8 @@
 use serde::Deserialize;
 use smol_str::SmolStr;
 
+use crate::fleet::duties::DutySettings;
+
 /// Failure to load a settings file.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -58,6 +60,9 @@
     /// Export of counters.
     #[serde(default)]
     pub metrics: Metrics,
+    /// Calls to the platform that one instance makes for all; not in the file.
+    #[serde(skip)]
+    pub duties: Option<DutySettings>,
 }
 
 /// HTTP listener for callers.
--- a/crates/standins/src/instances.rs
+++ b/crates/standins/src/instances.rs
@@ -85,6 +85,7 @@
             },
             limits: Limits::default(),
             metrics: Metrics::default(),
+            duties: None,
         }
     }
 }
