--- a/crates/router/src/fleet/duties/collector.rs
+++ b/crates/router/src/fleet/duties/collector.rs
@@ -58,6 +58,12 @@
         now_ms.saturating_add_signed(median)
     }
 
+    /// Whether all these instances have replied.
+    #[must_use]
+    pub fn knows(&self, alive: &[InstanceId]) -> bool {
+        alive.iter().all(|id| self.offsets.contains_key(id))
+    }
+
     /// Whether all these instances have replied since the end of the window.
     #[must_use]
     pub fn is_complete(&self, window: WindowId, length: Duration, alive: &[InstanceId]) -> bool {
--- a/crates/router/src/fleet/duties/lease.rs
+++ b/crates/router/src/fleet/duties/lease.rs
@@ -20,9 +20,11 @@
 const MARGIN_DIVISOR: u32 = 5;
 /// Part of the lease after which it is renewed: early enough for a second attempt, and so late that all duties
 /// together make fewer than two calls a second with a lease of three seconds.
-const RENEWAL_FRACTION: f64 = 0.4;
+const RENEWAL_FRACTION: f64 = 0.45;
 /// Time between two reads while another instance is known to hold the duty, in leases.
 const IDLE_READ_LEASES: u32 = 3;
+/// Part of the lease between two reads while its end is waited for, as it may be handed over before.
+const WAITING_READ_DIVISOR: u32 = 4;
 /// Part of the lease between two attempts after one that failed.
 const RETRY_DIVISOR: u32 = 8;
 /// Number of own writes whose outcome may still become known.
@@ -148,7 +150,9 @@
     retry_at: BootTime,
     /// What this instance knows of the reports, to be stored with the next write.
     pub ledger: Ledger,
-    /// The store was restored from an older copy, which may lack reports that were made.
+    /// The store was restored from an older copy, and the object in it may lack reports that were made.
+    lacking: bool,
+    /// The duty was taken with such an object.
     pub incomplete: bool,
 }
 
@@ -170,6 +174,7 @@
             unsure: true,
             retry_at: now,
             ledger: Ledger::default(),
+            lacking: false,
             incomplete: false,
         }
     }
@@ -239,9 +244,14 @@
             Interest::Take => {
                 let free = self.free_at(&seen).max(self.acted + self.length);
                 if now < free {
-                    return Step::Wait(free);
+                    let next = seen.read + self.length / WAITING_READ_DIVISOR;
+                    return if now < next {
+                        Step::Wait(free.min(next))
+                    } else {
+                        Step::Read
+                    };
                 }
-                self.incomplete = self.may_lack_reports(&seen.reading);
+                self.incomplete = self.lacking;
                 let floor = Token::from(seen.reading.era) << ERA_SHIFT;
                 self.write(&seen, self.highest.max(floor) + 1, mark)
             }
@@ -277,6 +287,7 @@
         if let Some(token) = self.own_token(&reading) {
             self.confirm(now, &reading, token);
         } else {
+            self.lacking = self.may_lack_reports(&reading, self.held.is_some());
             self.lose(now);
             self.adopt(&reading);
         }
@@ -355,7 +366,7 @@
             stored: sent.ledger,
         };
         self.ledger.merge(&held.stored);
-        let newer = self.held.as_ref().is_none_or(|h| h.written < held.written);
+        let newer = self.held.as_ref().is_none_or(|h| h.written <= held.written);
         if newer && now < self.end(&held) {
             self.held = Some(held);
         }
@@ -372,11 +383,11 @@
         }
     }
 
-    /// Whether the object is from an older copy of the store, and this instance didn't hold the duty last.
-    fn may_lack_reports(&self, reading: &Reading) -> bool {
+    /// Whether the object is from an older copy of the store, and this instance didn't hold the duty until it came back.
+    fn may_lack_reports(&self, reading: &Reading, held: bool) -> bool {
         let written = reading.object.as_ref().map_or(0, |o| o.record.era);
-        let last = self.last_token.map(|(_, token)| token);
-        written < reading.era && last != Some(self.highest)
+        let same = self.era() == Some(reading.era);
+        written < reading.era && if same { self.lacking } else { !held }
     }
 
     /// When another instance's permission has certainly ended. A duty that was handed over before the store was
--- a/crates/router/src/fleet/duties/reporter.rs
+++ b/crates/router/src/fleet/duties/reporter.rs
@@ -107,8 +107,11 @@
         drop(replies);
         let now_ms = term.collector.time_ms(wall_ms);
         let alive: Vec<InstanceId> = self.alive();
-        self.give_up(now_ms);
-        self.fix(term, now_ms, &alive);
+        // Until others have replied, only the own clock is known, which may be wrong.
+        if term.since.elapsed() >= FIRST_REPLIES || term.collector.knows(&alive) {
+            self.give_up(now_ms);
+            self.fix(term, now_ms, &alive);
+        }
         self.poll(term, now_ms, alive.len());
         let done = self.state.held.lease().ledger.done;
         term.collector.forget(done, &alive);
--- a/crates/router/tests/frames.rs
+++ b/crates/router/tests/frames.rs
@@ -3,6 +3,8 @@
 mod common;
 
 use jackdawtally::claims::{Action, Entry, Operation, Outcome, Progress};
+use jackdawtally::fleet::duties::poll::{InstanceCounts, Poll};
+use jackdawtally::fleet::duties::{Duty, OrganisationCount, UsageReport};
 use jackdawtally::fleet::isolated_instances::IsolationRecord;
 use jackdawtally::fleet::object_history::PastState;
 use jackdawtally::fleet::replica::{Difference, ObjectChange, Position};
@@ -113,6 +115,33 @@
     ]
 }
 
+/// Frames of the protocol's version 5.
+fn frames_of_version_5() -> Vec<Frame> {
+    vec![
+        Frame::PollDuty(Poll {
+            duty: Duty::UsageReports,
+            holder: "front-1".into(),
+            token: 1 << 33,
+            round: 7,
+            first: Some(353_445_120),
+        }),
+        Frame::DutyCounts(InstanceCounts {
+            token: 1 << 33,
+            round: 7,
+            instance: "front-2".into(),
+            start: 1_764_846_000_000,
+            now_ms: 1_764_846_100_000,
+            windows: vec![UsageReport {
+                window: 353_445_120,
+                counts: vec![OrganisationCount {
+                    organisation: "o".into(),
+                    requests: 412,
+                }],
+            }],
+        }),
+    ]
+}
+
 fn all_frames() -> Vec<Frame> {
     let operation = Operation {
         key: Uuid::now_v7(),
@@ -280,7 +309,8 @@
     let (mut seal, mut open) = seal_pair();
     let later = frames_of_version_3()
         .into_iter()
-        .chain(frames_of_version_4());
+        .chain(frames_of_version_4())
+        .chain(frames_of_version_5());
     for frame in all_frames().into_iter().chain(later) {
         let sealed = seal.seal(&frame);
 
