--- a/crates/router/tests/leases.rs
+++ b/crates/router/tests/leases.rs
@@ -223,7 +223,7 @@
         assert!(now < killed + LENGTH * 2, "nobody holds the duty");
     }
 
-    assert!(now + TICK * 28 >= killed + LENGTH);
+    assert!(now + TICK * 24 >= killed + LENGTH);
     assert_eq!(
         instances[1].lease.held(now).map(|(token, _)| token),
         Some(2)
