Bounds and spot servers are decoded into the router's own types

Cause: the planner needs the bounds of each pool, the kind of each server, and signs that requests wait.

--- a/crates/router/src/config/object.rs
+++ b/crates/router/src/config/object.rs
@@ -120,6 +120,9 @@
     /// version began goes on only at that version. Not part of declarations.
     #[serde(skip)]
     pub version: Option<SmolStr>,
+    /// Whether the platform may take the server back at short notice. Not part of declarations.
+    #[serde(skip)]
+    pub spot: bool,
 }
 
 impl BackendServer {
--- a/crates/router/src/forward/config_snapshot.rs
+++ b/crates/router/src/forward/config_snapshot.rs
@@ -1,6 +1,6 @@
 //! An immutable snapshot of the operators' configuration, and the holder of the current one.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
 use smol_str::SmolStr;
@@ -10,6 +10,7 @@
 use super::tier_order::TierOrder;
 use crate::config::object::Level;
 use crate::http1::Limits;
+use crate::load::scaling;
 
 /// Version of the configuration; a larger number is newer.
 pub type ConfigVersion = u64;
@@ -35,6 +36,8 @@
     pub keys: Option<HashMap<SmolStr, Arc<Organisation>>>,
     /// How important requests are, by the levels of their organisation and route.
     pub tiers: TierOrder,
+    /// Bounds of the number of servers of each pool whose servers are ordered by its demand.
+    pub scaling: BTreeMap<SmolStr, scaling::Bounds>,
     /// Limits for callers' requests.
     pub limits: Limits,
 }
--- a/crates/router/src/load/pool.rs
+++ b/crates/router/src/load/pool.rs
@@ -41,6 +41,7 @@
 mod rate_limits;
 mod rests;
 mod state;
+mod supply;
 mod suspects;
 mod versions;
 
--- a/crates/router/src/load/server.rs
+++ b/crates/router/src/load/server.rs
@@ -404,6 +404,13 @@
         });
     }
 
+    /// The last load report if it isn't older than `age`.
+    #[must_use]
+    pub fn last_report(&self, age: Duration, now: Instant) -> Option<LoadReport> {
+        let recent = |load: &ReceivedLoad| now.saturating_duration_since(load.received) <= age;
+        self.last_load.filter(recent).map(|load| load.report)
+    }
+
     /// Adds a sample of the inter-token gap, in ms, to the moving average.
     pub fn update_gap(&mut self, gap_ms: f64) {
         self.gap_ms = match self.gap_samples {
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -202,6 +202,7 @@
         fencing: false,
         leaving: false,
         version: None,
+        spot: false,
     }
 }
 
--- a/crates/router/tests/partition.rs
+++ b/crates/router/tests/partition.rs
@@ -33,6 +33,7 @@
             fencing: false,
             leaving: false,
             version: None,
+            spot: false,
         };
         servers.insert(Server::new(declared, true));
     }
--- a/crates/router/tests/placement.rs
+++ b/crates/router/tests/placement.rs
@@ -36,6 +36,7 @@
         fencing: false,
         leaving: false,
         version: None,
+        spot: false,
     }
 }
 
--- a/crates/router/tests/version_records.rs
+++ b/crates/router/tests/version_records.rs
@@ -58,6 +58,7 @@
     let server = BackendServer {
         service: Some("s".into()),
         version: Some(version.into()),
+        spot: false,
         ..common::backend_server("a", 4)
     };
     node.pools
--- a/crates/router/tests/versions.rs
+++ b/crates/router/tests/versions.rs
@@ -18,6 +18,7 @@
     BackendServer {
         address: ([127, 0, 0, 1], port).into(),
         version: version.map(Into::into),
+        spot: false,
         ..common::backend_server(name, 1)
     }
 }
--- a/crates/standins/tests/pool_fleet/mod.rs
+++ b/crates/standins/tests/pool_fleet/mod.rs
@@ -49,6 +49,7 @@
         fencing: false,
         leaving: false,
         version: None,
+        spot: false,
     }
 }
 
