The holder of the duty orders servers

Cause: decisions must reach the platform, by one instance, without a queue of outdated orders. Events orders.wanted and orders.sent, counters orders.*, gauges jackdawtally_ordered_servers at the holder only.

--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -111,6 +111,27 @@
         fields: &["pool", "state", "slots"],
         meaning: "the servers of a pool say that they fall over when they refuse many requests (`begun`), or do so no more (`ended`); `slots` is how many of all their slots this instance uses meanwhile",
     },
+    EventSpec {
+        name: "orders.wanted",
+        fields: &["pool", "servers", "before", "ready", "busy", "overload"],
+        meaning: "the number of servers that a pool should have in all data centres together has changed; `ready` is how many there are, `busy` how many the demand of all instances would keep busy, `overload` whether requests wait or are rejected",
+    },
+    EventSpec {
+        name: "orders.sent",
+        fields: &[
+            "pool",
+            "data_centre",
+            "kind",
+            "count",
+            "before",
+            "ready",
+            "reason",
+            "token",
+            "outcome",
+            "took_ms",
+        ],
+        meaning: "this instance, which holds the duty, has ordered `count` servers of a kind (`regular` or `spot`) for a data centre, after `before`; `ready` is how many there are; the reason is `growth`, `decline` or `repeat`; the outcome is `taken`, `none_available`, `busy`, `no_response`, `rejected` or `not_held`",
+    },
     EventSpec {
         name: "instance.isolation",
         fields: &["peer", "state", "number", "source"],
--- a/crates/router/src/fleet/duties/mod.rs
+++ b/crates/router/src/fleet/duties/mod.rs
@@ -3,6 +3,8 @@
 //! The holder of a duty is agreed on in the platform's store and nowhere else. A [`Permission`] is what the holder
 //! shows to its own code before each call; it ends before another instance may take the duty.
 
+pub mod scaling;
+
 use std::future::Future;
 use std::time::Duration;
 
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -57,6 +57,29 @@
     name: String,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ServerLabels {
+    pool: String,
+    data_centre: String,
+    kind: String,
+    count: String,
+}
+
+/// Servers of one kind in a data centre, as recorded in the metrics by the instance that orders them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServerCounts {
+    /// Name of the pool.
+    pub pool: SmolStr,
+    /// Name of the data centre.
+    pub data_centre: SmolStr,
+    /// `regular` or `spot`.
+    pub kind: &'static str,
+    /// How many were ordered.
+    pub ordered: u32,
+    /// How many take requests.
+    pub ready: u32,
+}
+
 fn latency_histogram() -> Histogram {
     // Buckets from 2 ms to 16 s.
     Histogram::new(exponential_buckets(0.002, 2.0, 14))
@@ -70,6 +93,7 @@
     waited: Family<RouteLabels, Histogram>,
     counters: Family<NameLabels, Gauge>,
     gauges: Family<NameLabels, Gauge>,
+    servers: Family<ServerLabels, Gauge>,
     routes: std::collections::BTreeSet<SmolStr>,
 }
 
@@ -81,6 +105,7 @@
         let waited = Family::new_with_constructor(latency_histogram as fn() -> Histogram);
         let counters = Family::default();
         let gauges = Family::default();
+        let servers = Family::default();
         registry.register(
             "requests",
             "Requests by outcome and cause",
@@ -102,6 +127,11 @@
             counters.clone(),
         );
         registry.register("state", "Current values, by name", gauges.clone());
+        registry.register(
+            "ordered_servers",
+            "Servers that were ordered, and those of them that take requests",
+            servers.clone(),
+        );
         Self {
             registry,
             requests,
@@ -109,6 +139,7 @@
             waited,
             counters,
             gauges,
+            servers,
             routes: std::collections::BTreeSet::new(),
         }
     }
@@ -189,6 +220,25 @@
         waited.observe(summary.waited.as_secs_f64());
     }
 
+    /// Replaces the counts of ordered servers; those of an instance that orders none are empty.
+    pub fn set_server_counts(&self, counts: &[ServerCounts]) {
+        let prometheus = self.prometheus.lock();
+        let prometheus = prometheus.unwrap_or_else(PoisonError::into_inner);
+        prometheus.servers.clear();
+        for group in counts {
+            for (count, value) in [("ordered", group.ordered), ("ready", group.ready)] {
+                let labels = ServerLabels {
+                    pool: group.pool.to_string(),
+                    data_centre: group.data_centre.to_string(),
+                    kind: group.kind.into(),
+                    count: count.into(),
+                };
+                let gauge = prometheus.servers.get_or_create(&labels);
+                gauge.set(value.into());
+            }
+        }
+    }
+
     /// Renders all metrics in the Prometheus text format, with `state` as the current gauge values. Returns an
     /// empty string if they can't be encoded.
     #[must_use]
