Servers are given up only once the demand is long known and their successors serve

Change: the calm time begins anew when the demand becomes known. Fewer servers of one kind are ordered only once the other kind's are ordered and take requests.

--- a/crates/router/src/load/scaling/demand_window.rs
+++ b/crates/router/src/load/scaling/demand_window.rs
@@ -24,6 +24,11 @@
         }
     }
 
+    /// Whether no demand was ever observed.
+    pub(super) const fn is_empty(&self) -> bool {
+        self.first.is_none()
+    }
+
     /// The least demand within the last `time`; `None` if it hasn't been observed for so long.
     pub(super) fn sustained(&self, time: Duration, now: Instant) -> Option<f64> {
         let first = self.first?;
--- a/crates/router/src/load/scaling/planner.rs
+++ b/crates/router/src/load/scaling/planner.rs
@@ -40,7 +40,7 @@
     /// Servers that all data centres together should have.
     total: u32,
     overloaded_since: Option<Instant>,
-    /// When there was last trouble, or this planner began.
+    /// When there was last trouble, or the demand became known.
     troubled: Instant,
     declined: Option<Instant>,
 }
@@ -105,6 +105,9 @@
 
     fn observe(&mut self, seen: &Observation, now: Instant) {
         if let Some(busy) = seen.busy.filter(|busy| busy.is_finite()) {
+            if self.demand.is_empty() {
+                self.troubled = now;
+            }
             self.demand.record(busy, self.bounds.calm_time(), now);
         }
         for (data_centre, count) in &seen.instances {
@@ -276,9 +279,12 @@
         for (index, (spot, wish)) in kinds.into_iter().enumerate() {
             let (own, other) = (&standings[index], &standings[1 - index]);
             let room = self.bounds.max.saturating_sub(other.upper());
-            let tight = kinds[1 - index].1 > self.bounds.max.saturating_sub(own.upper());
+            let other_wish = kinds[1 - index].1;
+            let other_room = self.bounds.max.saturating_sub(own.upper());
+            let tight = other_wish > other_room;
+            let replaced = other.is_complete() && other.count >= other_wish.min(other_room);
             let count = wish.min(room.max(own.count));
-            let Some(reason) = self.reason(own, other, (count, tight), now) else {
+            let Some(reason) = self.reason(own, count, (tight, replaced), now) else {
                 continue;
             };
             let order = Order {
@@ -293,16 +299,16 @@
     }
 
     /// Why `count` servers are to be ordered now; `None` if they aren't. `tight` tells that the standing order leaves too
-    /// little room for servers of the other kind.
+    /// little room for servers of the other kind, `replaced` that those take requests.
     fn reason(
         &self,
         own: &Standing,
-        other: &Standing,
-        (count, tight): (u32, bool),
+        count: u32,
+        (tight, replaced): (bool, bool),
         now: Instant,
     ) -> Option<Reason> {
         let blocked = own.is_blocked(now);
-        let calm = self.is_calm(now) && other.is_complete();
+        let calm = self.is_calm(now) && replaced;
         let repeat = own.is_repeat_due(self.bounds.start_time(), now);
         match count.cmp(&own.count) {
             Ordering::Greater if blocked => None,
--- a/crates/router/tests/scaling.rs
+++ b/crates/router/tests/scaling.rs
@@ -289,6 +289,31 @@
     assert!(simulation.orders.is_empty());
 }
 
+/// In the first seconds of the traffic the demand is still rising to its level.
+#[test]
+fn no_server_is_given_up_before_the_demand_has_long_been_known() {
+    let mut simulation = Simulation::new(bounds(1, 46, Some(0.18)));
+    simulation.run(12, |_| None);
+
+    simulation.run(9, |_| Some(1.0));
+
+    assert!(simulation.orders.is_empty(), "{:?}", simulation.orders);
+}
+
+/// Regular servers were given up in the same moment in which spot servers were ordered in their place.
+#[test]
+fn regular_servers_stay_until_the_spot_servers_in_their_place_take_requests() {
+    let mut simulation = Simulation::new(bounds(1, 46, Some(0.18)));
+    let mut least = simulation.ready();
+
+    for _ in 0..60 {
+        simulation.step(Some(20.0));
+        least = least.min(simulation.ready());
+    }
+
+    assert!(least >= 34, "{least}");
+}
+
 #[test]
 fn no_server_is_given_up_while_requests_wait() {
     let mut simulation = Simulation::new(bounds(1, 46, None));
