--- a/crates/router/src/fleet/duties/mod.rs
+++ b/crates/router/src/fleet/duties/mod.rs
@@ -14,6 +14,7 @@
 pub mod poll;
 pub mod polling;
 pub mod reporter;
+pub mod scaling;
 pub mod state;
 pub mod store;
 
