Connections that hold memory without progress give way to others

Cause: only bodies over 16 KiB were counted. Heads with their fields, small bodies, requests sent ahead and responses that nobody reads took as much as the connections allowed; a body's reservation stood until its time was up; one crowd took all connections of a listener; a link's frame could have 1 MiB before its peer was authenticated.

Change: http1/memory.rs keeps an account for each connection of a listener. Over the limit the one with most bytes times age since its last 4 KiB gives way: refused before its request is complete, closed if it doesn't read or sends ahead. A request that is handled doesn't give way. Handshakes of links: 128 at a time, frames of 16 KiB. A partial head is parsed only when a line ends. The time limit of a write now starts again with its progress, so that slow readers of long responses aren't cut.

The test of http1_connection that read the semaphore's permits reads the held bytes, with the same sizes and statuses.

--- a/crates/router/src/fleet/link.rs
+++ b/crates/router/src/fleet/link.rs
@@ -8,10 +8,10 @@
 use futures_util::{SinkExt, StreamExt};
 use rand::RngExt;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::sync::{broadcast, mpsc};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, broadcast, mpsc};
 use tokio::time::{Instant, MissedTickBehavior};
 use tokio_tungstenite::WebSocketStream;
-use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
+use tokio_tungstenite::tungstenite::protocol::{Role, WebSocketConfig};
 use tokio_tungstenite::tungstenite::{Error, Message};
 
 use crate::config::catalogue::Catalogue;
@@ -31,6 +31,10 @@
 const MAX_BATCH_RECORDS: usize = 64;
 /// Time limit for connecting and the handshake.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Maximum number of handshakes at a time with peers that connect; others wait.
+const MAX_HANDSHAKES: usize = 128;
+/// Maximum size of a frame before the peer is authenticated, in bytes.
+const HANDSHAKE_FRAME_BYTES: usize = 16 << 10;
 /// Time between two checks for missing links.
 const DIAL_INTERVAL: Duration = Duration::from_millis(300);
 /// Time between two rounds of attempts to reach instances that are suspect or dead.
@@ -61,10 +65,14 @@
 
 /// Accepts links from peers; never returns.
 pub async fn serve(node: Arc<Node>, listener: TcpListener) {
+    let handshakes = Arc::new(Semaphore::new(MAX_HANDSHAKES));
     loop {
+        let Ok(handshake) = Arc::clone(&handshakes).acquire_owned().await else {
+            return;
+        };
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::spawn(accept(Arc::clone(&node), stream));
+                tokio::spawn(accept(Arc::clone(&node), stream, handshake));
             }
             Err(_) => tokio::time::sleep(Duration::from_millis(50)).await,
         }
@@ -144,6 +152,14 @@
         .max_frame_size(Some(frame::MAX_FRAME_BYTES))
 }
 
+/// The limits before the peer is authenticated.
+fn handshake_config() -> WebSocketConfig {
+    WebSocketConfig::default()
+        .read_buffer_size(HANDSHAKE_FRAME_BYTES)
+        .max_message_size(Some(HANDSHAKE_FRAME_BYTES))
+        .max_frame_size(Some(HANDSHAKE_FRAME_BYTES))
+}
+
 fn hello(node: &Node) -> Hello {
     Hello {
         protocol: PROTOCOL,
@@ -184,11 +200,11 @@
     complete_handshake(node, socket, remote, nonces, Side::Dialer)
 }
 
-async fn accept(node: Arc<Node>, stream: TcpStream) {
+async fn accept(node: Arc<Node>, stream: TcpStream, permit: OwnedSemaphorePermit) {
     let handshake = async {
         stream.set_nodelay(true)?;
         let mut socket =
-            tokio_tungstenite::accept_async_with_config(stream, Some(socket_config())).await?;
+            tokio_tungstenite::accept_async_with_config(stream, Some(handshake_config())).await?;
         let mut local = hello(&node);
         socket
             .send(Message::Binary(frame::encode(&local).into()))
@@ -200,13 +216,19 @@
             node.metrics.count(error.counter());
             return Err(Error::ConnectionClosed);
         }
+        // A peer sends nothing more before it has the response.
+        let stream = socket.into_inner();
+        let config = Some(socket_config());
+        let mut socket = WebSocketStream::from_raw_socket(stream, Role::Server, config).await;
         local.proof = frame::proof(key, Side::Listener, &nonces, &local.record);
         socket
             .send(Message::Binary(frame::encode(&local).into()))
             .await?;
         complete_handshake(&node, socket, remote, nonces, Side::Listener)
     };
-    if let Ok(Ok(Some((link, frames)))) = tokio::time::timeout(HANDSHAKE_TIMEOUT, handshake).await {
+    let established = tokio::time::timeout(HANDSHAKE_TIMEOUT, handshake).await;
+    drop(permit);
+    if let Ok(Ok(Some((link, frames)))) = established {
         run(link, frames).await;
     }
 }
--- a/crates/router/src/http1/chunked.rs
+++ b/crates/router/src/http1/chunked.rs
@@ -44,9 +44,9 @@
         }
     }
 
-    /// Number of body bytes decoded so far.
-    pub fn len(&self) -> usize {
-        self.body.len()
+    /// Memory that the decoded part of the body takes.
+    pub fn capacity(&self) -> usize {
+        self.body.capacity()
     }
 
     /// Consumes as much of `bytes` as it can decode. Returns the body once it is complete, and `None`
--- a/crates/router/src/http1/connection.rs
+++ b/crates/router/src/http1/connection.rs
@@ -8,11 +8,11 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{ReadHalf, WriteHalf};
-use tokio::sync::{Semaphore, SemaphorePermit};
 use tokio::time::{self, Instant};
 
 use super::chunked::Decoder;
 use super::head::{self, Framing, Head, RequestError};
+use super::memory::{Eviction, Full, Holding, Memory, Stage};
 use super::response_writer::{Disconnected, ResponseWriter, State};
 
 /// Limit on bytes of pipelined requests that are buffered while a request is being handled. Beyond it the
@@ -20,10 +20,10 @@
 const MAX_PIPELINED_BYTES: usize = 64 << 10;
 /// Initial capacity of the read buffer.
 const READ_BUFFER_BYTES: usize = 4 << 10;
-/// Body size up to which no memory is reserved, as the connection's own buffers are of that size anyway.
-const UNRESERVED_BYTES: usize = 16 << 10;
-/// Body bytes that one semaphore permit stands for.
-const BYTES_PER_PERMIT: usize = 1 << 10;
+/// Estimated memory of a request that is being handled, besides its head and body.
+const REQUEST_OVERHEAD_BYTES: usize = 8 << 10;
+/// Estimated memory of one header field besides its bytes, in the request as received and as forwarded.
+const FIELD_OVERHEAD_BYTES: usize = 256;
 /// How long a closed connection is still drained, so that the caller can read its last response.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -75,8 +75,8 @@
     /// The current shutdown phase.
     fn phase(&self) -> Phase;
 
-    /// Bounds the memory for request bodies of all connections together; one permit stands for 1 KiB.
-    fn body_memory(&self) -> &Semaphore;
+    /// The memory that all connections hold together.
+    fn memory(&self) -> &Memory;
 
     /// Completes when idle connections are to be closed.
     fn wait_closing(&self) -> impl Future<Output = ()> + Send;
@@ -96,7 +96,7 @@
         response: &mut ResponseWriter<'_>,
     ) -> impl Future<Output = Result<(), Disconnected>> + Send;
 
-    /// Responds to a request whose body exceeds the free `body_memory`; the connection is closed afterwards.
+    /// Responds to a request that has to give way, as the `memory` is used up; the connection is closed afterwards.
     fn reject_no_memory(
         &self,
         response: &mut ResponseWriter<'_>,
@@ -118,42 +118,24 @@
     Timeout,
 }
 
-/// Memory reserved for one request body; released on drop.
-struct Reservation<'a> {
-    semaphore: &'a Semaphore,
-    permits: Vec<SemaphorePermit<'a>>,
-    bytes: usize,
-}
-
-impl<'a> Reservation<'a> {
-    const fn new(semaphore: &'a Semaphore) -> Self {
-        Self {
-            semaphore,
-            permits: Vec::new(),
-            bytes: UNRESERVED_BYTES,
-        }
+impl From<RequestError> for ReadError {
+    fn from(error: RequestError) -> Self {
+        Self::Invalid(error)
     }
+}
 
-    /// Extends the reservation to `bytes` in total, or fails at once if there isn't enough free memory.
-    fn grow(&mut self, bytes: usize) -> Result<(), ReadError> {
-        if bytes <= self.bytes {
-            return Ok(());
-        }
-        let permits = (bytes - self.bytes).div_ceil(BYTES_PER_PERMIT);
-        let permits = u32::try_from(permits).map_err(|_| ReadError::NoMemory)?;
-        let permit = self
-            .semaphore
-            .try_acquire_many(permits)
-            .map_err(|_| ReadError::NoMemory)?;
-        self.permits.push(permit);
-        self.bytes = bytes;
-        Ok(())
+impl From<Full> for ReadError {
+    fn from(_: Full) -> Self {
+        Self::NoMemory
     }
 }
 
-impl From<RequestError> for ReadError {
-    fn from(error: RequestError) -> Self {
-        Self::Invalid(error)
+impl From<Eviction> for ReadError {
+    fn from(reason: Eviction) -> Self {
+        match reason {
+            Eviction::Memory => Self::NoMemory,
+            Eviction::Connection => Self::Closed,
+        }
     }
 }
 
@@ -165,42 +147,78 @@
 
 /// Serves one connection until it is closed by either side.
 pub async fn serve<H: Handler>(mut stream: TcpStream, handler: &H) {
+    let account = handler.memory().open();
     let (mut read, write) = stream.split();
-    let mut buffer = BytesMut::with_capacity(READ_BUFFER_BYTES);
-    let mut response = ResponseWriter::new(write);
+    let mut incoming = Incoming::new(&mut read, &account);
+    let mut response = ResponseWriter::new(write, &account);
     let rejected = loop {
-        match exchange(handler, &mut read, &mut buffer, &mut response).await {
+        match exchange(handler, &mut incoming, &mut response).await {
             Ok(true) => response.reset(),
             Ok(false) => break false,
             Err(ReadError::Closed) => return,
-            Err(ReadError::Invalid(error)) => {
-                response.close = true;
-                break handler.reject(error, &mut response).await.is_ok();
-            }
-            Err(ReadError::NoMemory) => {
+            Err(error) => {
+                incoming.discard();
                 response.close = true;
-                break handler.reject_no_memory(&mut response).await.is_ok();
-            }
-            Err(ReadError::Timeout) => {
-                response.close = true;
-                break handler.reject_timeout(&mut response).await.is_ok();
+                break reject(handler, error, &mut response).await.is_ok();
             }
         }
     };
+    incoming.discard();
     if rejected || response.state == State::Complete {
-        linger(&mut read, &mut response.stream).await;
+        tokio::select! {
+            () = linger(&mut read, &mut response.stream) => {}
+            _ = account.evicted() => {}
+        }
+    }
+}
+
+async fn reject<H: Handler>(
+    handler: &H,
+    error: ReadError,
+    response: &mut ResponseWriter<'_>,
+) -> Result<(), Disconnected> {
+    match error {
+        ReadError::Closed => Err(Disconnected),
+        ReadError::Invalid(error) => handler.reject(error, response).await,
+        ReadError::NoMemory => handler.reject_no_memory(response).await,
+        ReadError::Timeout => handler.reject_timeout(response).await,
     }
 }
 
 /// Reads one request and responds to it. Returns whether the connection can be used for another request.
 async fn exchange<H: Handler>(
     handler: &H,
-    read: &mut ReadHalf<'_>,
-    buffer: &mut BytesMut,
+    incoming: &mut Incoming<'_, '_>,
     response: &mut ResponseWriter<'_>,
 ) -> Result<bool, ReadError> {
     let limits = handler.limits();
-    let head = read_head(handler, read, buffer, &limits).await?;
+    incoming.wait_first(handler, &limits).await?;
+    let account = incoming.account;
+    account.enter(Stage::Receiving);
+    let request = tokio::select! {
+        biased;
+        reason = account.evicted() => return Err(reason.into()),
+        request = read_request(handler, incoming, &limits, response) => request?,
+    };
+    account.enter(Stage::Handling);
+    let result = tokio::select! {
+        biased;
+        result = handler.handle(request, response) => result,
+        () = incoming.wait_disconnect() => Err(Disconnected),
+    };
+    account.enter(Stage::Idle);
+    response.close |= handler.phase() != Phase::Serving && response.state != State::Complete;
+    Ok(result.is_ok() && response.state == State::Complete && !response.close)
+}
+
+async fn read_request<H: Handler>(
+    handler: &H,
+    incoming: &mut Incoming<'_, '_>,
+    limits: &Limits,
+    response: &mut ResponseWriter<'_>,
+) -> Result<Request, ReadError> {
+    let head = time::timeout(limits.head_timeout, incoming.read_head(limits)).await;
+    let head = head.unwrap_or(Err(ReadError::Timeout))?;
     response.head_only = head.method == Method::HEAD;
     response.close = !head.keep_alive || handler.phase() != Phase::Serving;
     if head.expects_continue {
@@ -209,101 +227,174 @@
             .await
             .map_err(|Disconnected| ReadError::Closed)?;
     }
-    let mut memory = Reservation::new(handler.body_memory());
-    let body = read_body(&head, read, buffer, &limits, &mut memory);
-    let body = time::timeout(limits.body_timeout, body).await;
-    let body = body.unwrap_or(Err(ReadError::Timeout))?;
-    let request = Request {
+    let body = time::timeout(limits.body_timeout, incoming.read_body(&head, limits)).await;
+    Ok(Request {
         head,
-        body,
+        body: body.unwrap_or(Err(ReadError::Timeout))?,
         received: Instant::now(),
-    };
-    let result = tokio::select! {
-        biased;
-        result = handler.handle(request, response) => result,
-        () = wait_disconnect(read, buffer) => Err(Disconnected),
-    };
-    response.close |= handler.phase() != Phase::Serving && response.state != State::Complete;
-    Ok(result.is_ok() && response.state == State::Complete && !response.close)
+    })
 }
 
-async fn read_head<H: Handler>(
-    handler: &H,
-    read: &mut ReadHalf<'_>,
-    buffer: &mut BytesMut,
-    limits: &Limits,
-) -> Result<Head, ReadError> {
-    if buffer.is_empty() {
+/// The receiving side of a connection.
+struct Incoming<'a, 's> {
+    read: &'a mut ReadHalf<'s>,
+    account: &'a Holding<'a>,
+    /// Bytes that are received and not yet decoded.
+    buffer: BytesMut,
+    /// Estimated memory of the head and body that are decoded.
+    decoded: usize,
+}
+
+impl<'a, 's> Incoming<'a, 's> {
+    fn new(read: &'a mut ReadHalf<'s>, account: &'a Holding<'a>) -> Self {
+        Self {
+            read,
+            account,
+            buffer: BytesMut::new(),
+            decoded: 0,
+        }
+    }
+
+    /// Waits for the first byte of a request.
+    async fn wait_first<H: Handler>(
+        &mut self,
+        handler: &H,
+        limits: &Limits,
+    ) -> Result<(), ReadError> {
+        self.decoded = 0;
+        if !self.buffer.is_empty() {
+            return Ok(());
+        }
+        // Releases what a large request has left.
+        self.buffer = BytesMut::new();
+        self.account.release();
+        let account = self.account;
         let first = tokio::select! {
-            first = time::timeout(limits.idle_timeout, read.read_buf(buffer)) => first,
+            first = time::timeout(limits.idle_timeout, self.read_first()) => first,
             () = handler.wait_closing() => return Err(ReadError::Closed),
+            _ = account.evicted() => return Err(ReadError::Closed),
         };
         match first {
-            Ok(Ok(n)) if n > 0 => {}
-            _ => return Err(ReadError::Closed),
+            Ok(Ok(n)) if n > 0 => Ok(()),
+            _ => Err(ReadError::Closed),
         }
     }
-    let parsed = async {
+
+    /// Reads the first bytes that arrive. Only then the buffer gets memory.
+    async fn read_first(&mut self) -> std::io::Result<usize> {
+        self.read.readable().await?;
+        self.buffer.reserve(READ_BUFFER_BYTES);
+        self.read.read_buf(&mut self.buffer).await
+    }
+
+    async fn read_head(&mut self, limits: &Limits) -> Result<Head, ReadError> {
+        self.account.make_room(self.held()).await?;
+        let mut seen = 0;
         loop {
-            if let Some((head, length)) = head::parse(buffer, limits.head_bytes)? {
-                let _ = buffer.split_to(length);
+            // A head ends with a line.
+            let complete_line = memchr::memchr(b'\n', &self.buffer[seen..]).is_some();
+            if (complete_line || self.buffer.len() > limits.head_bytes)
+                && let Some((head, length)) = head::parse(&self.buffer, limits.head_bytes)?
+            {
+                let _ = self.buffer.split_to(length);
+                let fields = head.headers.len() * FIELD_OVERHEAD_BYTES;
+                self.decoded = REQUEST_OVERHEAD_BYTES + length + fields;
+                self.account.make_room(self.held()).await?;
                 return Ok(head);
             }
-            read_more(read, buffer).await?;
+            seen = self.buffer.len();
+            self.read_more().await?;
         }
-    };
-    let parsed = time::timeout(limits.head_timeout, parsed).await;
-    parsed.unwrap_or(Err(ReadError::Timeout))
-}
+    }
 
-async fn read_body(
-    head: &Head,
-    read: &mut ReadHalf<'_>,
-    buffer: &mut BytesMut,
-    limits: &Limits,
-    memory: &mut Reservation<'_>,
-) -> Result<Bytes, ReadError> {
-    match head.framing {
-        Framing::Length(length) => {
-            let length = usize::try_from(length).unwrap_or(usize::MAX);
-            if length > limits.body_bytes {
-                return Err(RequestError::BodyTooLarge.into());
-            }
-            memory.grow(length)?;
-            while buffer.len() < length {
-                read_more(read, buffer).await?;
+    async fn read_body(&mut self, head: &Head, limits: &Limits) -> Result<Bytes, ReadError> {
+        match head.framing {
+            Framing::Length(length) => self.read_length(length, limits).await,
+            Framing::Chunked => self.read_chunked(limits).await,
+        }
+    }
+
+    async fn read_length(&mut self, length: u64, limits: &Limits) -> Result<Bytes, ReadError> {
+        let length = usize::try_from(length).unwrap_or(usize::MAX);
+        if length > limits.body_bytes {
+            return Err(RequestError::BodyTooLarge.into());
+        }
+        let missing = length.saturating_sub(self.buffer.len());
+        self.account.make_room(self.held() + missing).await?;
+        self.buffer.reserve(missing);
+        while self.buffer.len() < length {
+            self.read_more().await?;
+        }
+        let body = self.buffer.split_to(length).freeze();
+        self.decoded += length;
+        if self.buffer.is_empty() {
+            self.buffer = BytesMut::new();
+        }
+        Ok(body)
+    }
+
+    async fn read_chunked(&mut self, limits: &Limits) -> Result<Bytes, ReadError> {
+        let mut decoder = Decoder::new(limits.body_bytes);
+        let head = self.decoded;
+        loop {
+            if let Some(body) = decoder.decode(&mut self.buffer)? {
+                return Ok(body);
             }
-            Ok(buffer.split_to(length).freeze())
+            self.decoded = head + decoder.capacity();
+            self.read_more().await?;
+        }
+    }
+
+    /// Reads at least one byte.
+    async fn read_more(&mut self) -> Result<(), ReadError> {
+        if self.buffer.capacity() == self.buffer.len() {
+            self.buffer.reserve(READ_BUFFER_BYTES);
         }
-        Framing::Chunked => {
-            let mut decoder = Decoder::new(limits.body_bytes);
-            loop {
-                if let Some(body) = decoder.decode(buffer)? {
-                    return Ok(body);
-                }
-                memory.grow(decoder.len().next_multiple_of(UNRESERVED_BYTES))?;
-                read_more(read, buffer).await?;
+        match self.read.read_buf(&mut self.buffer).await? {
+            0 => Err(ReadError::Closed),
+            n => {
+                self.account.record_progress(n);
+                self.account.make_room(self.held()).await?;
+                Ok(())
             }
         }
     }
-}
 
-async fn read_more(read: &mut ReadHalf<'_>, buffer: &mut BytesMut) -> Result<(), ReadError> {
-    match read.read_buf(buffer).await? {
-        0 => Err(ReadError::Closed),
-        _ => Ok(()),
+    /// Waits until the caller disconnects or has to give way. Further requests that arrive meanwhile are kept.
+    async fn wait_disconnect(&mut self) {
+        let account = self.account;
+        tokio::select! {
+            biased;
+            _ = account.evicted() => {}
+            () = self.read_ahead() => {}
+        }
     }
-}
 
-/// Completes when the caller disconnects. Pipelined requests that arrive meanwhile are kept in `buffer`.
-async fn wait_disconnect(read: &mut ReadHalf<'_>, buffer: &mut BytesMut) {
-    while buffer.len() < MAX_PIPELINED_BYTES {
-        match read.read_buf(buffer).await {
-            Ok(n) if n > 0 => {}
-            _ => return,
+    async fn read_ahead(&mut self) {
+        while self.buffer.len() < MAX_PIPELINED_BYTES {
+            match self.read_first().await {
+                Ok(n) if n > 0 => {}
+                _ => return,
+            }
+            let ahead = self.buffer.len();
+            let held = self.account.hold_ahead(self.decoded, ahead).await;
+            if held.is_err() {
+                return;
+            }
         }
+        std::future::pending::<()>().await;
+    }
+
+    fn held(&self) -> usize {
+        self.decoded + self.buffer.capacity()
+    }
+
+    /// Releases what the last request has left.
+    fn discard(&mut self) {
+        self.buffer = BytesMut::new();
+        self.account.enter(Stage::Idle);
+        self.account.release();
     }
-    std::future::pending::<()>().await;
 }
 
 /// Shuts down the sending side and discards what the caller still sends. Closing a socket with unread data
--- a/crates/router/src/http1/mod.rs
+++ b/crates/router/src/http1/mod.rs
@@ -8,8 +8,10 @@
 mod chunked;
 mod connection;
 mod head;
+mod memory;
 mod response_writer;
 
 pub use connection::{Handler, Limits, Phase, Request, serve};
 pub use head::{Framing, Head, RequestError, is_end_to_end, parse};
+pub use memory::Memory;
 pub use response_writer::{Disconnected, ResponseWriter};
--- a/crates/router/src/http1/response_writer.rs
+++ b/crates/router/src/http1/response_writer.rs
@@ -11,10 +11,14 @@
 use tokio::time;
 
 use super::head;
+use super::memory::{Holding, Stage};
 
-/// Time limit for one write; a caller that stops reading for longer is treated as disconnected.
+/// Time without any progress of a write after which the caller is treated as disconnected.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// Size of a body up to which it's copied to be sent together with its head.
+const MAX_COPIED_BYTES: usize = 16 << 10;
+
 /// Error for a caller that closed its connection or stopped reading its response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("the caller disconnected")]
@@ -30,6 +34,7 @@
 
 /// Writes the response to one request.
 pub struct ResponseWriter<'a> {
+    account: &'a Holding<'a>,
     pub(super) stream: WriteHalf<'a>,
     pub(super) state: State,
     /// Whether the connection is closed after the response, announced in its `Connection` field.
@@ -39,8 +44,9 @@
 }
 
 impl<'a> ResponseWriter<'a> {
-    pub(super) const fn new(stream: WriteHalf<'a>) -> Self {
+    pub(super) const fn new(stream: WriteHalf<'a>, account: &'a Holding<'a>) -> Self {
         Self {
+            account,
             stream,
             state: State::Unsent,
             close: false,
@@ -83,10 +89,18 @@
             );
         }
         bytes.extend_from_slice(b"\r\n");
-        if !bodiless && !self.head_only {
+        let body = if bodiless || self.head_only {
+            &[][..]
+        } else {
+            body
+        };
+        if body.len() <= MAX_COPIED_BYTES {
             bytes.extend_from_slice(body);
+            self.write(&bytes).await?;
+        } else {
+            self.write(&bytes).await?;
+            self.write(body).await?;
         }
-        self.write(&bytes).await?;
         self.state = State::Complete;
         Ok(())
     }
@@ -151,10 +165,43 @@
     }
 
     async fn write(&mut self, bytes: &[u8]) -> Result<(), Disconnected> {
-        match time::timeout(WRITE_TIMEOUT, self.stream.write_all(bytes)).await {
-            Ok(Ok(())) => Ok(()),
-            Ok(Err(_)) | Err(_) => Err(Disconnected),
+        match self.stream.try_write(bytes) {
+            Ok(n) if n == bytes.len() => Ok(()),
+            Ok(n) => self.write_rest(&bytes[n..]).await,
+            Err(_) => self.write_rest(bytes).await,
+        }
+    }
+
+    /// Writes what the caller has to make room for by reading. If the memory is used up, it may have to give way.
+    async fn write_rest(&mut self, bytes: &[u8]) -> Result<(), Disconnected> {
+        let stage = self.account.stage();
+        self.account.enter(Stage::Sending);
+        let account = self.account;
+        let written = tokio::select! {
+            biased;
+            _ = account.evicted() => Err(Disconnected),
+            written = self.write_steadily(bytes) => written,
+        };
+        self.account.enter(stage);
+        written
+    }
+
+    async fn write_steadily(&mut self, bytes: &[u8]) -> Result<(), Disconnected> {
+        let held = self.account.held();
+        self.account.hold_response(held + bytes.len());
+        let mut rest = bytes;
+        while !rest.is_empty() {
+            let write = time::timeout(WRITE_TIMEOUT, self.stream.write(rest)).await;
+            match write {
+                Ok(Ok(n)) if n > 0 => {
+                    rest = &rest[n..];
+                    self.account.record_progress(n);
+                }
+                Ok(_) | Err(_) => return Err(Disconnected),
+            }
         }
+        self.account.hold_response(held);
+        Ok(())
     }
 }
 
--- a/crates/router/tests/http1_connection.rs
+++ b/crates/router/tests/http1_connection.rs
@@ -7,11 +7,11 @@
 
 use http::{HeaderMap, StatusCode};
 use jackdawtally::http1::{
-    self, Disconnected, Handler, Limits, Phase, Request, RequestError, ResponseWriter,
+    self, Disconnected, Handler, Limits, Memory, Phase, Request, RequestError, ResponseWriter,
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, Semaphore, watch};
+use tokio::sync::{Notify, watch};
 
 /// Handler whose response depends on the path; by default it echoes the body.
 struct EchoHandler {
@@ -19,7 +19,7 @@
     cancelled: Arc<Notify>,
     phase: watch::Sender<Phase>,
     limits: Limits,
-    body_memory: Semaphore,
+    memory: Memory,
 }
 
 /// Notifies when the future of a request is dropped.
@@ -40,8 +40,8 @@
         *self.phase.borrow()
     }
 
-    fn body_memory(&self) -> &Semaphore {
-        &self.body_memory
+    fn memory(&self) -> &Memory {
+        &self.memory
     }
 
     fn wait_closing(&self) -> impl Future<Output = ()> + Send {
@@ -123,7 +123,7 @@
         cancelled: Arc::new(Notify::new()),
         phase: watch::Sender::new(Phase::Serving),
         limits,
-        body_memory: Semaphore::new(64),
+        memory: Memory::new(96 << 10),
     });
     let listener = TcpListener::bind("127.0.0.1:0")
         .await
@@ -256,7 +256,7 @@
         let _ = stream.read_to_end(&mut rest).await;
 
         assert_eq!(received, format!("HTTP/1.1 {status}").as_bytes());
-        assert_eq!(handler.body_memory.available_permits(), 64);
+        assert_eq!(handler.memory.held(), 0);
     }
 }
 
