Refuse requests while the servers have too little room

Each instance now admits a part of its demand that follows how crowded the servers are by the load reports on its own responses: the most important levels first, within a level organisations by their usual demand. A refusal comes at once, with a spread delay of at most a third of the caller's time; callers who come back go first.

--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -111,6 +111,11 @@
         fields: &["pool", "state", "slots"],
         meaning: "the servers of a pool say that they fall over when they refuse many requests (`begun`), or do so no more (`ended`); `slots` is how many of all their slots this instance uses meanwhile",
     },
+    EventSpec {
+        name: "pool.room",
+        fields: &["pool", "state", "admitted", "crowding"],
+        meaning: "the servers of a pool are so full that requests with known prompts are refused (`begun`), the least important first, or aren't any more (`ended`); `admitted` is the part of this instance's demand that is admitted, `crowding` how full the servers are: 1 if all slots are in use, more if requests wait",
+    },
     EventSpec {
         name: "instance.isolation",
         fields: &["peer", "state", "number", "source"],
--- a/crates/router/src/forward/forwarder.rs
+++ b/crates/router/src/forward/forwarder.rs
@@ -21,7 +21,7 @@
 use crate::fleet::membership::{InstanceId, InstanceRecord};
 use crate::http1::{Disconnected, ResponseWriter};
 use crate::load::budget::{self, BudgetLimits, RetryBudget};
-use crate::load::pool::{AdmissionRequest, LostServer, Permit, Pool};
+use crate::load::pool::{AdmissionRequest, LostServer, Patience, Permit, Pool};
 use crate::load::prompt_placement::Prompt;
 use crate::load::queue::RequestAttributes;
 use crate::node::Node;
@@ -38,6 +38,8 @@
 const STARVATION_BOUND: Duration = Duration::from_secs(4);
 /// Batches of events with which a response has gone past its beginning.
 const BEGUN_BATCHES: u64 = 2;
+/// A caller that has less than this part of the route's timeout left has tried before.
+const FIRST_ATTEMPT_FRACTION: f64 = 0.9;
 /// Retry delay advised to callers whose request no backend server could take.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
 
@@ -231,6 +233,7 @@
     }
 
     async fn run_attempts(&mut self) -> Result<StatusCode, ForwardError> {
+        self.check_room().map_err(ForwardError::Fault)?;
         let mut unsent = 0;
         loop {
             let result = match self.next_target().await? {
@@ -254,6 +257,22 @@
         }
     }
 
+    /// Refuses a request for which the servers have no room. One that resumes a stream, or that another instance has
+    /// admitted, isn't refused.
+    fn check_room(&self) -> Result<(), Fault> {
+        if self.request.forwarded_by.is_some() || self.resume_after.is_some() {
+            return Ok(());
+        }
+        let expires_at = self.request.expires_at();
+        let left = expires_at.saturating_duration_since(Instant::now());
+        let patience = Patience {
+            left,
+            returned: left < self.request.route.timeout.mul_f64(FIRST_ATTEMPT_FRACTION),
+        };
+        self.pool
+            .check_room(&self.admission, self.prompt(), patience)
+    }
+
     /// Where the next attempt goes: to a backend server, or to another instance if that one is to send it.
     async fn next_target(&mut self) -> Result<Target, ForwardError> {
         loop {
--- a/crates/router/src/load/mod.rs
+++ b/crates/router/src/load/mod.rs
@@ -18,5 +18,6 @@
 pub mod quarantine;
 pub mod queue;
 pub mod rate_limit;
+pub mod room;
 pub mod scaling;
 pub mod server;
--- a/crates/router/src/load/pool.rs
+++ b/crates/router/src/load/pool.rs
@@ -27,6 +27,7 @@
 use crate::load::partition::Partition;
 use crate::load::prompt_placement::Prompt;
 use crate::load::queue::{EntryId, Queue};
+use crate::load::room::Room;
 pub use crate::load::server::ServerId;
 use crate::load::server::{Declaration, LoadReport, Server};
 use crate::metrics::Metrics;
@@ -40,6 +41,7 @@
 mod prompts;
 mod rate_limits;
 mod rests;
+mod room;
 mod state;
 mod suspects;
 mod versions;
@@ -47,6 +49,7 @@
 pub use admission::{AdmissionRequest, Directive, Limits, LostServer, Preemption, Stats};
 pub use crashes::SuspectedCrash;
 pub use permit::Permit;
+pub use room::Patience;
 
 use state::{State, Waiter};
 pub use versions::CommonVersion;
@@ -116,6 +119,7 @@
             demand: Demand::default(),
             fleet_demand: FleetDemand::default(),
             partition: Partition::default(),
+            room: Room::default(),
             instances: 1,
             members: Arc::default(),
             undeclared_limits: HashMap::new(),
@@ -284,7 +288,9 @@
     pub fn record_load(self: &Arc<Self>, server: ServerId, report: LoadReport) {
         let now = Instant::now();
         let mut state = self.lock();
-        if let Some(server) = state.servers.get_mut(server) {
+        let State { servers, room, .. } = &mut *state;
+        if let Some(server) = servers.get_mut(server) {
+            room.record_load(report, server.declared.slots, now);
             server.record_load(report, now);
             if server.record_success() {
                 log::info!("server={} state=up", server.name());
--- a/crates/router/src/load/pool/periodic.rs
+++ b/crates/router/src/load/pool/periodic.rs
@@ -32,6 +32,7 @@
             self.metrics.add("preempted", preempted);
             state.update_stragglers();
             state.update_partition(now);
+            self.update_room(&mut state, now);
             state.expire_prefixes(now);
             replies
         };
--- a/crates/router/src/load/pool/state.rs
+++ b/crates/router/src/load/pool/state.rs
@@ -27,6 +27,7 @@
 use crate::load::quarantine::RequestIdentity;
 use crate::load::queue::{EntryId, Queue, RequestAttributes};
 use crate::load::rate_limit::{Members, Statement};
+use crate::load::room::Room;
 use crate::load::server::Server;
 
 /// Fraction of the starvation bound without progress after which the starvation guard acts for a
@@ -109,6 +110,8 @@
     pub(super) demand: Demand,
     pub(super) fleet_demand: FleetDemand,
     pub(super) partition: Partition,
+    /// What is admitted while the servers are crowded.
+    pub(super) room: Room,
     /// Instances that send requests to the pool.
     pub(super) instances: u32,
     /// The instances among which rate limits are divided.
