--- a/crates/router/src/load/room.rs
+++ b/crates/router/src/load/room.rs
@@ -221,9 +221,10 @@
         }
         let readable = arrival.prefill < arrival.left;
         usage.credit = (usage.credit + usage.share).min(1.0);
-        let advance = match arrival.returned {
-            true if usage.share > 0.0 => RETURN_CREDIT,
-            _ => 0.0,
+        let advance = if arrival.returned && usage.share > 0.0 {
+            RETURN_CREDIT
+        } else {
+            0.0
         };
         let due = ADMISSION_CREDIT - advance;
         if readable && usage.credit >= due {
