--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -132,6 +132,11 @@
         ],
         meaning: "this instance, which holds the duty, has ordered `count` servers of a kind (`regular` or `spot`) for a data centre, after `before`; `ready` is how many there are; the reason is `growth`, `decline` or `repeat`; the outcome is `taken`, `none_available`, `busy`, `no_response`, `rejected` or `not_held`",
     },
+    EventSpec {
+        name: "pool.room",
+        fields: &["pool", "state", "admitted", "crowding"],
+        meaning: "the servers of a pool are so full that requests with known prompts are refused (`begun`), the least important first, or aren't any more (`ended`); `admitted` is the part of this instance's demand that is admitted, `crowding` how full the servers are: 1 if all slots are in use, more if requests wait",
+    },
     EventSpec {
         name: "instance.isolation",
         fields: &["peer", "state", "number", "source"],
