--- a/crates/router/tests/server_orders.rs
+++ b/crates/router/tests/server_orders.rs
@@ -122,6 +122,7 @@
             slot_servers: 0.0,
             prefill_ms: 1.0,
             disturbed: 0.0,
+            crowded: 0.0,
         };
         let pool = self.node.pools.get("p").expect("the pool exists");
         for _ in 0..40 {
