Numbers of servers follow the demand that first tokens show

Change: classes exchange the prefill as times to first token bound it; orders use that. In calm only spot orders may grow.

--- a/crates/router/src/load/demand.rs
+++ b/crates/router/src/load/demand.rs
@@ -71,6 +71,8 @@
     requests: f64,
     /// Decayed sum of the requests' prefill times, in ms.
     prefill_ms: f64,
+    /// Decayed sum of the prefill times as first tokens show them, in ms: a cached prefix isn't prefilled.
+    observed_ms: f64,
     /// Requests in flight: rises at once, and falls with the decay.
     in_flight: f64,
     /// Upper quantile of the requests' prefill times, in ms.
@@ -87,6 +89,7 @@
             gap_target,
             requests: 0.0,
             prefill_ms: 0.0,
+            observed_ms: 0.0,
             in_flight: 0.0,
             usual_ms: Quantile::new(USUAL_PROMPTS, USUAL_PROMPTS_STEP),
             shared_pauses: Pauses::default(),
@@ -104,10 +107,12 @@
     fn summary(&self, class: &SmolStr, slots: f64) -> ClassSummary {
         let gap_ms = self.gap_target.map(|t| t.as_secs_f32() * 1_000.0);
         let prefill_s = self.prefill_ms / 1_000.0;
+        let observed_s = self.observed_ms / 1_000.0;
         ClassSummary {
             class: class.clone(),
             gap_ms: gap_ms.unwrap_or(f32::INFINITY),
             prefill_servers: (prefill_s / DECAY.as_secs_f64()) as f32,
+            observed_servers: Some((observed_s / DECAY.as_secs_f64()) as f32),
             slot_servers: (self.in_flight / slots.max(1.0)) as f32,
             prefill_ms: self.usual_ms.value().unwrap_or_default() as f32,
             disturbed: self.shared_pauses.disturbed(self.duration_s()) as f32,
@@ -155,10 +160,14 @@
         demand.usual_ms.record(prefill_ms);
     }
 
-    /// Records the time from sending a request with `tokens` prompt tokens to its first token.
-    pub fn record_first_token(&mut self, tokens: u32, took: Duration) {
+    /// Records the time from sending a request of `class` with `tokens` prompt tokens to its first token.
+    pub fn record_first_token(&mut self, class: &str, tokens: u32, took: Duration) {
+        let took_ms = took.as_secs_f64() * 1_000.0;
+        let expected_ms = self.prefill_ms(f64::from(tokens));
+        if let Some(demand) = self.classes.get_mut(class) {
+            demand.observed_ms += expected_ms.min(took_ms);
+        }
         if tokens >= RATE_PROMPT_MIN {
-            let took_ms = took.as_secs_f64() * 1_000.0;
             self.rate.record(f64::from(tokens) / took_ms.max(1.0));
         }
     }
@@ -190,6 +199,7 @@
             let present = in_flight.get(class).copied().unwrap_or_default();
             demand.requests *= kept;
             demand.prefill_ms *= kept;
+            demand.observed_ms *= kept;
             demand.shared_pauses.decay(kept_pauses);
             demand.own_pauses.decay(kept_pauses);
             let mean = demand.in_flight * kept + f64::from(present) * (1.0 - kept);
--- a/crates/router/src/load/fleet_demand.rs
+++ b/crates/router/src/load/fleet_demand.rs
@@ -31,6 +31,9 @@
     /// Servers that the prefill of the class's prompts keeps busy.
     #[serde(rename = "w")]
     pub prefill_servers: f32,
+    /// The same as the times to first token show it, which tell that a prefix was cached; `None` from older builds.
+    #[serde(rename = "b", default)]
+    pub observed_servers: Option<f32>,
     /// Servers all of whose slots requests of the class take.
     #[serde(rename = "s")]
     pub slot_servers: f32,
@@ -54,9 +57,20 @@
         self.prefill_servers.max(self.slot_servers)
     }
 
+    /// Servers that the class keeps busy, without prefixes that were cached.
+    #[must_use]
+    pub fn busy_servers(&self) -> f32 {
+        self.observed().max(self.slot_servers)
+    }
+
+    fn observed(&self) -> f32 {
+        self.observed_servers.unwrap_or(self.prefill_servers)
+    }
+
     fn is_valid(&self) -> bool {
         let values = [
             self.prefill_servers,
+            self.observed(),
             self.slot_servers,
             self.prefill_ms,
             self.disturbed,
@@ -68,6 +82,9 @@
     fn approach(&mut self, other: &Self, weight: f32) {
         let approach = |value: &mut f32, other: f32| *value += weight * (other - *value);
         self.gap_ms = other.gap_ms;
+        let mut observed = self.observed();
+        approach(&mut observed, other.observed());
+        self.observed_servers = Some(observed);
         approach(&mut self.prefill_servers, other.prefill_servers);
         approach(&mut self.slot_servers, other.slot_servers);
         approach(&mut self.prefill_ms, other.prefill_ms);
@@ -89,6 +106,7 @@
         for mean in self.classes.values_mut() {
             if !own.iter().any(|o| o.class == mean.class) {
                 mean.prefill_servers *= 1.0 - OWN_WEIGHT;
+                mean.observed_servers = Some(mean.observed() * (1.0 - OWN_WEIGHT));
                 mean.slot_servers *= 1.0 - OWN_WEIGHT;
             }
         }
--- a/crates/router/src/load/pool/dispatch.rs
+++ b/crates/router/src/load/pool/dispatch.rs
@@ -130,7 +130,7 @@
         if let Some(grant) = grants.get_mut(grant).filter(|g| g.stage != Stage::Started) {
             grant.stage = Stage::Started;
             let took = now.saturating_duration_since(grant.sent);
-            demand.record_first_token(grant.uncached, took);
+            demand.record_first_token(&grant.attributes.class, grant.uncached, took);
             if let Some(server) = servers.get_mut(grant.server) {
                 server.remove_unstarted(grant.attributes.level);
                 server.record_newest_started(grant.attributes.level, grant.sent);
--- a/crates/router/src/load/scaling.rs
+++ b/crates/router/src/load/scaling.rs
@@ -164,11 +164,10 @@
 }
 
 /// Servers that the whole fleet keeps busy if the average instance has this demand; `None` if no demand is known.
-/// In overload the figure is too low by prefill, as only what was sent counts, and too high by slots, as what waits at
-/// servers counts too.
+/// In overload the figure is too high, as prompts that wait at servers appear to be prefilled, and take slots.
 #[must_use]
 pub fn busy_servers(classes: &[ClassSummary], instances: u32) -> Option<f64> {
-    let servers: f64 = classes.iter().map(|c| f64::from(c.servers())).sum();
+    let servers: f64 = classes.iter().map(|c| f64::from(c.busy_servers())).sum();
     (servers > 0.0).then_some(servers * f64::from(instances))
 }
 
--- a/crates/router/src/load/scaling/planner.rs
+++ b/crates/router/src/load/scaling/planner.rs
@@ -284,7 +284,8 @@
             let tight = other_wish > other_room;
             let replaced = other.is_complete() && other.count >= other_wish.min(other_room);
             let count = wish.min(room.max(own.count));
-            let Some(reason) = self.reason(own, count, (tight, replaced), now) else {
+            let may_grow = self.is_short() || (spot && self.is_calm(now));
+            let Some(reason) = self.reason(own, count, (may_grow, tight, replaced), now) else {
                 continue;
             };
             let order = Order {
@@ -298,13 +299,14 @@
         orders.sort_by_key(|(_, reason)| *reason != Reason::Decline);
     }
 
-    /// Why `count` servers are to be ordered now; `None` if they aren't. `tight` tells that the standing order leaves too
-    /// little room for servers of the other kind, `replaced` that those take requests.
+    /// Why `count` servers are to be ordered now; `None` if they aren't. `may_grow` tells whether more
+    /// may be ordered, `tight` that the standing order leaves too little room for servers of the other kind, `replaced` that
+    /// those take requests.
     fn reason(
         &self,
         own: &Standing,
         count: u32,
-        (tight, replaced): (bool, bool),
+        (may_grow, tight, replaced): (bool, bool, bool),
         now: Instant,
     ) -> Option<Reason> {
         let blocked = own.is_blocked(now);
@@ -312,7 +314,7 @@
         let repeat = own.is_repeat_due(self.bounds.start_time(), now);
         match count.cmp(&own.count) {
             Ordering::Greater if blocked => None,
-            Ordering::Greater => (self.is_short() || self.is_calm(now)).then_some(Reason::Growth),
+            Ordering::Greater => may_grow.then_some(Reason::Growth),
             Ordering::Less => calm.then_some(Reason::Decline),
             Ordering::Equal if tight && own.upper() > own.count => Some(Reason::Decline),
             Ordering::Equal => (repeat && !blocked).then_some(Reason::Repeat),
--- a/crates/router/tests/frames.rs
+++ b/crates/router/tests/frames.rs
@@ -182,6 +182,7 @@
                     class: "chat".into(),
                     gap_ms: f32::INFINITY,
                     prefill_servers: 0.5,
+                    observed_servers: None,
                     slot_servers: 0.25,
                     prefill_ms: 40.0,
                     disturbed: 0.125,
--- a/crates/router/tests/server_orders.rs
+++ b/crates/router/tests/server_orders.rs
@@ -119,6 +119,7 @@
             class: "c".into(),
             gap_ms: f32::INFINITY,
             prefill_servers: servers,
+            observed_servers: None,
             slot_servers: 0.0,
             prefill_ms: 1.0,
             disturbed: 0.0,
