Servers' stated work times decide their share of the prefixes

Servers of one pool differ in speed by a factor of two, and every one got the same share of the prefixes; the fourth figure of the load header was ignored. Without the figure all shares are equal and costs are as before.

Measured: not yet.

--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -32,7 +32,7 @@
 };
 pub use load::{
     admission_floors, demand, fleet_demand, partition, placement, pool, pools, prompt_placement,
-    quarantine, queue, rate_limit, server,
+    quarantine, queue, rate_limit, server, server_speed,
 };
 pub use request::{
     admitted, backend, claim, execution, inference, relay, response, service, token,
--- a/crates/router/src/load/mod.rs
+++ b/crates/router/src/load/mod.rs
@@ -20,3 +20,4 @@
 pub mod rate_limit;
 pub mod scaling;
 pub mod server;
+pub mod server_speed;
--- a/crates/router/src/load/pool.rs
+++ b/crates/router/src/load/pool.rs
@@ -29,6 +29,7 @@
 use crate::load::queue::{EntryId, Queue};
 pub use crate::load::server::ServerId;
 use crate::load::server::{Declaration, LoadReport, Server};
+use crate::load::server_speed::{ServerSpeeds, SpeedSummary};
 use crate::metrics::Metrics;
 
 mod admission;
@@ -116,6 +117,7 @@
             demand: Demand::default(),
             fleet_demand: FleetDemand::default(),
             partition: Partition::default(),
+            speeds: ServerSpeeds::default(),
             instances: 1,
             members: Arc::default(),
             undeclared_limits: HashMap::new(),
@@ -284,8 +286,14 @@
     pub fn record_load(self: &Arc<Self>, server: ServerId, report: LoadReport) {
         let now = Instant::now();
         let mut state = self.lock();
-        if let Some(server) = state.servers.get_mut(server) {
+        let State {
+            servers, speeds, ..
+        } = &mut *state;
+        if let Some(server) = servers.get_mut(server) {
             server.record_load(report, now);
+            if let Some(percent) = server.work_percent() {
+                speeds.record(server.name(), percent);
+            }
             if server.record_success() {
                 log::info!("server={} state=up", server.name());
             }
@@ -388,6 +396,19 @@
         self.lock().fleet_demand.merge(peer);
     }
 
+    /// What is known of the speed of some of the servers, to be sent to a peer.
+    #[must_use]
+    pub fn speeds(&self) -> Vec<SpeedSummary> {
+        let mut state = self.lock();
+        let start = state.rng.random_range(0..=u16::MAX);
+        state.speeds.summaries(start.into())
+    }
+
+    /// Takes what a peer knows of the speed of the servers into account.
+    pub fn merge_speeds(&self, peer: &[SpeedSummary]) {
+        self.lock().speeds.merge(peer);
+    }
+
     /// Sets the number of instances that send requests to the pool, this one included.
     pub fn set_instances(&self, instances: usize) {
         self.lock().instances = u32::try_from(instances.max(1)).unwrap_or(u32::MAX);
--- a/crates/router/src/load/pool/prompts.rs
+++ b/crates/router/src/load/pool/prompts.rs
@@ -113,6 +113,18 @@
         if after != before {
             log::info!("partition={after} before={before}");
         }
+        self.update_speeds(now);
+    }
+
+    fn update_speeds(&mut self, now: Instant) {
+        let names = self.servers.values().map(|s| s.name().as_str());
+        for name in self.speeds.update(names, now) {
+            let slowness = self.speeds.slowness(name);
+            log::info!("server={name} slowness={slowness}");
+        }
+        for server in self.servers.values_mut() {
+            server.set_slowness(self.speeds.slowness(server.name()));
+        }
     }
 
     /// Whether so many servers crashed lately that pauses show the load that they left to the others, and their cold
--- a/crates/router/src/load/pool/state.rs
+++ b/crates/router/src/load/pool/state.rs
@@ -28,6 +28,7 @@
 use crate::load::queue::{EntryId, Queue, RequestAttributes};
 use crate::load::rate_limit::{Members, Statement};
 use crate::load::server::Server;
+use crate::load::server_speed::ServerSpeeds;
 
 /// Fraction of the starvation bound without progress after which the starvation guard acts for a
 /// class.
@@ -109,6 +110,7 @@
     pub(super) demand: Demand,
     pub(super) fleet_demand: FleetDemand,
     pub(super) partition: Partition,
+    pub(super) speeds: ServerSpeeds,
     /// Instances that send requests to the pool.
     pub(super) instances: u32,
     /// The instances among which rate limits are divided.
--- a/crates/router/src/load/pools.rs
+++ b/crates/router/src/load/pools.rs
@@ -17,6 +17,7 @@
 use crate::load::pool::{Limits, Pool, Preemption, ServerId};
 use crate::load::quarantine;
 use crate::load::rate_limit::{Members, Notice};
+use crate::load::server_speed::SpeedSummary;
 use crate::metrics::Metrics;
 use crate::rendezvous;
 use crate::settings::Settings;
@@ -66,6 +67,9 @@
     /// Demand of the average instance by class.
     #[serde(rename = "c")]
     pub classes: Vec<ClassSummary>,
+    /// Speed of some of the servers; empty if they are alike.
+    #[serde(rename = "s", default, skip_serializing_if = "Vec::is_empty")]
+    pub speeds: Vec<SpeedSummary>,
 }
 
 /// What was heard of the rate limits of one pool's servers, as exchanged between instances.
@@ -153,15 +157,16 @@
     }
 
     /// The demand for one of the pools, another one at each call, so that the size of a heartbeat doesn't
-    /// grow with the number of pools. Pools with fewer than two classes are left out.
+    /// grow with the number of pools. Pools with fewer than two classes and without known speeds are left out.
     #[must_use]
     pub fn next_demand(&self) -> Option<PoolDemand> {
         let of_pool = |pool: &Arc<Pool>| PoolDemand {
             pool: pool.name().clone(),
             classes: pool.demand(),
+            speeds: pool.speeds(),
         };
         let mut demand: Vec<PoolDemand> = self.all().iter().map(of_pool).collect();
-        demand.retain(|d| d.classes.len() > 1);
+        demand.retain(|d| d.classes.len() > 1 || !d.speeds.is_empty());
         demand.sort_by(|a, b| a.pool.cmp(&b.pool));
         let turn = self.demand_turn.fetch_add(1, Ordering::Relaxed);
         let index = turn.checked_rem(demand.len())?;
@@ -172,6 +177,7 @@
     pub fn merge_demand(&self, peer: &PoolDemand) {
         if let Some(pool) = self.get(&peer.pool) {
             pool.merge_demand(&peer.classes);
+            pool.merge_speeds(&peer.speeds);
         }
     }
 
--- a/crates/router/src/load/prompt_placement.rs
+++ b/crates/router/src/load/prompt_placement.rs
@@ -100,15 +100,19 @@
 ) -> Choice {
     let own = load.partition.of_class(request.class);
     let elsewhere = |id| own.is_some_and(|part| load.partition.of_server(id) != part);
-    let mut order: Vec<(bool, u64, ServerId)> = servers
+    let mut order: Vec<(bool, f64, ServerId)> = servers
         .iter()
         .filter(|(_, s)| s.accepts(now))
         .map(|(id, s)| {
-            let weight = rendezvous::weight(criteria.prefix_hash, s.name());
+            let share = 1.0 / s.slowness();
+            let weight = rendezvous::shared_weight(criteria.prefix_hash, s.name(), share);
             (!elsewhere(id), weight, id)
         })
         .collect();
-    order.sort_unstable_by(|a, b| b.cmp(a));
+    order.sort_unstable_by(|a, b| {
+        let by_part = b.0.cmp(&a.0);
+        by_part.then(b.1.total_cmp(&a.1)).then(b.2.cmp(&a.2))
+    });
     let candidates = order.iter().enumerate().filter(|(_, (_, _, id))| {
         placement::has_room(&servers[*id], criteria, now) && !criteria.avoid.contains(id)
     });
@@ -119,30 +123,36 @@
             1 => SECOND_UNCACHED_RATIO,
             _ => 1.0,
         };
-        let own_cost = prompt_cost_ms(request, uncached_ratio, *id, load);
-        (own_cost + delay_ms(&servers[*id], *id, load, now), *id)
+        let server = &servers[*id];
+        let slowness = server.slowness_now(now);
+        let own_cost = prompt_cost_ms(request, uncached_ratio, slowness, *id, load);
+        (own_cost + delay_ms(server, slowness, *id, load, now), *id)
     });
     let best = costs.min_by(|a, b| a.0.total_cmp(&b.0));
     best.map_or(Choice::Full, |(_, id)| Choice::Server(id))
 }
 
 /// Cost, in ms, of prefilling the prompt at a server that lacks a fraction of its shared prefix: the
-/// repeated prefill, and the latency targets that are missed because of the choice.
+/// repeated prefill, what the prefill takes longer than at the median server, and the latency targets that are missed
+/// because of the choice.
 fn prompt_cost_ms(
     request: &PromptRequest<'_>,
     uncached_ratio: f64,
+    slowness: f64,
     server: ServerId,
     load: &PoolLoad<'_>,
 ) -> f64 {
     let uncached = f64::from(request.prompt.shared) * uncached_ratio;
     let unique = f64::from(request.prompt.unique);
     let reprefill = load.demand.prefill_ms(uncached) * REPREFILL_WEIGHT;
-    let prefill = load.demand.prefill_ms(uncached + unique);
+    let usual = load.demand.prefill_ms(uncached + unique);
+    let prefill = usual * slowness;
+    let own = reprefill + prefill - usual;
     match load.partition.of_class(request.class) {
-        Some(own) if load.partition.of_server(server) != own => {
-            reprefill + missed_ms(request, prefill, server, load.partition)
+        Some(part) if load.partition.of_server(server) != part => {
+            own + missed_ms(request, prefill, server, load.partition)
         }
-        _ => reprefill,
+        _ => own,
     }
 }
 
@@ -164,15 +174,21 @@
 }
 
 /// Expected delay of a new request at a server, in ms.
-fn delay_ms(server: &Server, id: ServerId, load: &PoolLoad<'_>, now: Instant) -> f64 {
+fn delay_ms(
+    server: &Server,
+    slowness: f64,
+    id: ServerId,
+    load: &PoolLoad<'_>,
+    now: Instant,
+) -> f64 {
     let backlog = load.backlogs.get(&id).copied().unwrap_or_default();
-    let waiting = load.demand.prefill_ms(f64::from(backlog.tokens));
+    let waiting = load.demand.prefill_ms(f64::from(backlog.tokens)) * slowness;
     let stalled = backlog.age.as_secs_f64() * 1_000.0 * STALL_FRACTION;
     let remote = if server.local { 0.0 } else { REMOTE_PENALTY_MS };
-    let slow = if server.straggling() {
+    let straggling = if server.straggling() {
         STRAGGLER_PENALTY_MS
     } else {
         0.0
     };
-    waiting.max(stalled) + server.fullness(now) * FULL_BATCH_MS + remote + slow
+    waiting.max(stalled) + server.fullness(now) * FULL_BATCH_MS + remote + straggling
 }
--- a/crates/router/src/load/server.rs
+++ b/crates/router/src/load/server.rs
@@ -1,6 +1,7 @@
 //! State that an instance keeps of one backend server: load, token rate and health.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -24,6 +25,10 @@
 const EWMA_WEIGHT: f64 = 0.1;
 /// Age at which the load in a report is given half its weight.
 const LOAD_HALF_LIFE: Duration = Duration::from_millis(1_500);
+/// Age at which a reported work time is given half its weight.
+const WORK_TIME_HALF_LIFE: Duration = Duration::from_millis(200);
+/// Bounds of a reported work time, in percent of the usual one.
+const WORK_PERCENT: RangeInclusive<u32> = 25..=1_000;
 /// Time for which the circuit breaker stays open after the first failure, without jitter.
 const BACKOFF_MIN: Duration = Duration::from_millis(200);
 /// Longest time for which the circuit breaker stays open before a trial request, without jitter.
@@ -48,6 +53,10 @@
     /// Whether the server is leaving: it finishes its requests and takes no new ones.
     #[serde(default)]
     pub leaving: bool,
+    /// How long work takes on the server's machine at the moment, in percent of the usual time; `None` if the server
+    /// doesn't say.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub work_percent: Option<u32>,
 }
 
 /// Response of a backend server to a poll of its state.
@@ -115,6 +124,8 @@
     slot_share: Option<SlotShare>,
     /// Until when the server wants no requests of this instance.
     rest_until: Option<Instant>,
+    /// How many times as long work usually takes as at the pool's median server.
+    slowness: f64,
 }
 
 impl Server {
@@ -140,6 +151,7 @@
             rate_limit: None,
             slot_share: None,
             rest_until: None,
+            slowness: 1.0,
         }
     }
 
@@ -200,6 +212,35 @@
         self.slot_share = share;
     }
 
+    /// How many times as long work usually takes as at the pool's median server.
+    #[must_use]
+    pub const fn slowness(&self) -> f64 {
+        self.slowness
+    }
+
+    /// Sets [`Self::slowness`].
+    pub const fn set_slowness(&mut self, slowness: f64) {
+        self.slowness = slowness;
+    }
+
+    /// How long work took on the server's machine at its last load report, in percent of the usual time.
+    #[must_use]
+    pub fn work_percent(&self) -> Option<u32> {
+        self.last_load.and_then(|load| load.report.work_percent)
+    }
+
+    /// How many times as long work takes now as at the pool's median server, as far as a recent load report tells.
+    #[must_use]
+    pub fn slowness_now(&self, now: Instant) -> f64 {
+        let present = self.last_load.and_then(|load| {
+            let percent = load.report.work_percent?;
+            let age = now.saturating_duration_since(load.received);
+            let weight = 0.5_f64.powf(age.as_secs_f64() / WORK_TIME_HALF_LIFE.as_secs_f64());
+            Some((f64::from(percent) / 100.0 - self.slowness) * weight)
+        });
+        self.slowness + present.unwrap_or(0.0)
+    }
+
     /// Whether this instance may use any slot of the server.
     #[must_use]
     pub fn has_slots(&self) -> bool {
@@ -390,7 +431,8 @@
     }
 
     /// Replaces the last load report.
-    pub fn record_load(&mut self, report: LoadReport, now: Instant) {
+    pub fn record_load(&mut self, mut report: LoadReport, now: Instant) {
+        report.work_percent = report.work_percent.filter(|p| WORK_PERCENT.contains(p));
         self.reported_leaving = report.leaving;
         let outdated =
             |at: &Instant| now.saturating_duration_since(*at) >= LEAVING_NOTICE_PRECEDENCE;
--- a/crates/router/src/request/backend.rs
+++ b/crates/router/src/request/backend.rs
@@ -118,6 +118,7 @@
         running: running.parse().ok()?,
         waiting: waiting.parse().ok()?,
         leaving: false,
+        work_percent: None,
     })
 }
 
--- a/crates/router/tests/frames.rs
+++ b/crates/router/tests/frames.rs
@@ -16,12 +16,19 @@
 use jackdawtally::pools::{BrittlePool, PoolCrashes, PoolDemand, PoolLimits};
 use jackdawtally::quarantine::{self, Suspect};
 use jackdawtally::rate_limit::Notice;
+use jackdawtally::server_speed::{ServerSpeeds, SpeedSummary};
 use serde::{Deserialize, Serialize};
 use uuid::Uuid;
 
 const KEY: &str = "0123456789abcdef";
 const NONCES: [[u8; 16]; 2] = [[1; 16], [2; 16]];
 
+fn known_speeds() -> Vec<SpeedSummary> {
+    let mut speeds = ServerSpeeds::default();
+    speeds.record("engine-1", 120);
+    speeds.summaries(0)
+}
+
 fn seal_pair() -> (Seal, Seal) {
     let seal = Seal::new(KEY, Side::Dialer, &NONCES);
     (seal.clone(), seal)
@@ -157,6 +164,7 @@
                     prefill_ms: 40.0,
                     disturbed: 0.125,
                 }],
+                speeds: known_speeds(),
             }),
         },
         Frame::Instances(vec![common::instance_record("a", "north")]),
--- a/crates/router/tests/partition.rs
+++ b/crates/router/tests/partition.rs
@@ -241,7 +241,7 @@
     let report = LoadReport {
         running: 64,
         waiting: 128,
-        leaving: false,
+        ..LoadReport::default()
     };
     for id in &own {
         servers[*id].record_load(report, Instant::now());
--- a/crates/router/tests/placement.rs
+++ b/crates/router/tests/placement.rs
@@ -11,7 +11,7 @@
 use jackdawtally::pool::ServerId;
 use jackdawtally::prompt_placement::{self, Backlog, PoolLoad, Prompt, PromptRequest};
 use jackdawtally::rendezvous;
-use jackdawtally::server::Server;
+use jackdawtally::server::{LoadReport, Server};
 use slotmap::SlotMap;
 use tokio::time::Instant;
 
@@ -178,6 +178,50 @@
     assert_ne!(place(&servers, &criteria(9), &hung), preferred);
 }
 
+/// One server in four takes twice as long for its work, and the prefixes are shared out accordingly.
+#[test]
+fn slow_servers_get_half_as_many_prefixes_and_the_others_keep_theirs() {
+    let even = all_servers("north");
+    let mut uneven = all_servers("north");
+    for (_, server) in uneven.iter_mut().filter(|(_, s)| is_slow(s)) {
+        server.set_slowness(2.0);
+    }
+    let idle = HashMap::new();
+    let (mut at_slow, mut moved_from_fast) = (0, 0);
+
+    for prefix in 1..=2_400 {
+        let before = place(&even, &criteria(prefix), &idle);
+        let after = place(&uneven, &criteria(prefix), &idle);
+        at_slow += u32::from(is_slow(&uneven[id_of(&uneven, &after)]));
+        let was_fast = !is_slow(&even[id_of(&even, &before)]);
+        moved_from_fast += u32::from(was_fast && before != after);
+    }
+
+    // Three half shares of ten and a half.
+    assert!((270..420).contains(&at_slow), "{at_slow}");
+    assert_eq!(moved_from_fast, 0);
+}
+
+fn is_slow(server: &Server) -> bool {
+    ["engine-0", "engine-4", "engine-8"].contains(&server.name().as_str())
+}
+
+/// Other work on the preferred server's machine takes a moment: the prefix isn't prefilled elsewhere for that.
+#[test]
+fn moment_of_noise_moves_no_prefix() {
+    let mut servers = all_servers("north");
+    let preferred = place(&servers, &criteria(7), &HashMap::new());
+    let report = LoadReport {
+        work_percent: Some(250),
+        ..LoadReport::default()
+    };
+
+    let id = id_of(&servers, &preferred);
+    servers[id].record_load(report, Instant::now());
+
+    assert_eq!(place(&servers, &criteria(7), &HashMap::new()), preferred);
+}
+
 #[test]
 fn server_that_failed_the_request_is_avoided() {
     let servers = all_servers("north");
--- a/crates/standins/src/simulated_server.rs
+++ b/crates/standins/src/simulated_server.rs
@@ -640,6 +640,7 @@
             running: count(self.running.len()),
             waiting: count(self.waiting.len()),
             leaving: self.leaving.is_some(),
+            work_percent: None,
         }
     }
 
