--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -111,6 +111,32 @@
         fields: &["pool", "state", "slots"],
         meaning: "the servers of a pool say that they fall over when they refuse many requests (`begun`), or do so no more (`ended`); `slots` is how many of all their slots this instance uses meanwhile",
     },
+    EventSpec {
+        name: "orders.wanted",
+        fields: &["pool", "servers", "before", "ready", "busy", "overload"],
+        meaning: "the number of servers that a pool should have in all data centres together has changed; `ready` is how many there are, `busy` how many the demand of all instances would keep busy, `overload` whether requests wait or are rejected",
+    },
+    EventSpec {
+        name: "orders.sent",
+        fields: &[
+            "pool",
+            "data_centre",
+            "kind",
+            "count",
+            "before",
+            "ready",
+            "reason",
+            "token",
+            "outcome",
+            "took_ms",
+        ],
+        meaning: "this instance, which holds the duty, has ordered `count` servers of a kind (`regular` or `spot`) for a data centre, after `before`; `ready` is how many there are; the reason is `growth`, `decline` or `repeat`; the outcome is `taken`, `none_available`, `busy`, `no_response`, `rejected` or `not_held`",
+    },
+    EventSpec {
+        name: "pool.room",
+        fields: &["pool", "state", "admitted", "crowding"],
+        meaning: "the servers of a pool are so full that requests with known prompts are refused (`begun`), the least important first, or aren't any more (`ended`); `admitted` is the part of this instance's demand that is admitted, `crowding` how full the servers are: 1 if all slots are in use, more if requests wait",
+    },
     EventSpec {
         name: "instance.isolation",
         fields: &["peer", "state", "number", "source"],
@@ -121,6 +147,23 @@
         fields: &["id", "host", "path", "cause", "config"],
         meaning: "a request was rejected before its route and organisation were determined",
     },
+    EventSpec {
+        name: "duty.lease",
+        fields: &["duty", "state", "token", "reason"],
+        meaning: "whether this instance performs a duty under this fencing token; the state is `taken`, `kept` (again, as nobody else had taken it), `unconfirmed` (a renewal failed and is tried again), `lost` or `handed_over`",
+    },
+    EventSpec {
+        name: "duty.call",
+        fields: &[
+            "duty", "token", "subject", "number", "outcome", "reason", "took_ms",
+        ],
+        meaning: "a call to the platform was made under this fencing token; for a usage report, `subject` is the window and `number` counts its requests; the outcome is `taken` or `failed`",
+    },
+    EventSpec {
+        name: "duty.missed",
+        fields: &["duty", "first", "last"],
+        meaning: "the usage of the windows from `first` to `last` isn't reported any more, as it would be late or may have been reported before the store was restored from an older copy",
+    },
     EventSpec {
         name: "stream.origin",
         fields: &[
--- a/crates/router/src/load/mod.rs
+++ b/crates/router/src/load/mod.rs
@@ -18,6 +18,7 @@
 pub mod quarantine;
 pub mod queue;
 pub mod rate_limit;
+pub mod room;
 pub mod scaling;
 pub mod server;
 pub mod server_speed;
--- a/crates/router/src/load/pool.rs
+++ b/crates/router/src/load/pool.rs
@@ -27,6 +27,7 @@
 use crate::load::partition::Partition;
 use crate::load::prompt_placement::Prompt;
 use crate::load::queue::{EntryId, Queue};
+use crate::load::room::Room;
 pub use crate::load::server::ServerId;
 use crate::load::server::{Declaration, LoadReport, Server};
 use crate::load::server_speed::{ServerSpeeds, SpeedSummary};
@@ -41,13 +42,16 @@
 mod prompts;
 mod rate_limits;
 mod rests;
+mod room;
 mod state;
+mod supply;
 mod suspects;
 mod versions;
 
 pub use admission::{AdmissionRequest, Directive, Limits, LostServer, Preemption, Stats};
 pub use crashes::SuspectedCrash;
 pub use permit::Permit;
+pub use room::Patience;
 
 use state::{State, Waiter};
 pub use versions::CommonVersion;
@@ -118,6 +122,7 @@
             fleet_demand: FleetDemand::default(),
             partition: Partition::default(),
             speeds: ServerSpeeds::default(),
+            room: Room::default(),
             instances: 1,
             members: Arc::default(),
             undeclared_limits: HashMap::new(),
@@ -287,9 +292,13 @@
         let now = Instant::now();
         let mut state = self.lock();
         let State {
-            servers, speeds, ..
+            servers,
+            speeds,
+            room,
+            ..
         } = &mut *state;
         if let Some(server) = servers.get_mut(server) {
+            room.record_load(report, server.declared.slots, now);
             server.record_load(report, now);
             if let Some(percent) = server.work_percent() {
                 speeds.record(server.name(), percent);
--- a/crates/router/src/load/pool/state.rs
+++ b/crates/router/src/load/pool/state.rs
@@ -27,6 +27,7 @@
 use crate::load::quarantine::RequestIdentity;
 use crate::load::queue::{EntryId, Queue, RequestAttributes};
 use crate::load::rate_limit::{Members, Statement};
+use crate::load::room::Room;
 use crate::load::server::Server;
 use crate::load::server_speed::ServerSpeeds;
 
@@ -110,6 +111,8 @@
     pub(super) demand: Demand,
     pub(super) fleet_demand: FleetDemand,
     pub(super) partition: Partition,
+    /// What is admitted while the servers are crowded.
+    pub(super) room: Room,
     pub(super) speeds: ServerSpeeds,
     /// Instances that send requests to the pool.
     pub(super) instances: u32,
