--- a/crates/router/src/load/mod.rs
+++ b/crates/router/src/load/mod.rs
@@ -21,3 +21,4 @@
 pub mod room;
 pub mod scaling;
 pub mod server;
+pub mod server_speed;
--- a/crates/router/src/load/pool.rs
+++ b/crates/router/src/load/pool.rs
@@ -30,6 +30,7 @@
 use crate::load::room::Room;
 pub use crate::load::server::ServerId;
 use crate::load::server::{Declaration, LoadReport, Server};
+use crate::load::server_speed::{ServerSpeeds, SpeedSummary};
 use crate::metrics::Metrics;
 
 mod admission;
@@ -120,6 +121,7 @@
             demand: Demand::default(),
             fleet_demand: FleetDemand::default(),
             partition: Partition::default(),
+            speeds: ServerSpeeds::default(),
             room: Room::default(),
             instances: 1,
             members: Arc::default(),
@@ -289,10 +291,18 @@
     pub fn record_load(self: &Arc<Self>, server: ServerId, report: LoadReport) {
         let now = Instant::now();
         let mut state = self.lock();
-        let State { servers, room, .. } = &mut *state;
+        let State {
+            servers,
+            speeds,
+            room,
+            ..
+        } = &mut *state;
         if let Some(server) = servers.get_mut(server) {
             room.record_load(report, server.declared.slots, now);
             server.record_load(report, now);
+            if let Some(percent) = server.work_percent() {
+                speeds.record(server.name(), percent);
+            }
             if server.record_success() {
                 log::info!("server={} state=up", server.name());
             }
@@ -395,6 +405,19 @@
         self.lock().fleet_demand.merge(peer);
     }
 
+    /// What is known of the speed of some of the servers, to be sent to a peer.
+    #[must_use]
+    pub fn speeds(&self) -> Vec<SpeedSummary> {
+        let mut state = self.lock();
+        let start = state.rng.random_range(0..=u16::MAX);
+        state.speeds.summaries(start.into())
+    }
+
+    /// Takes what a peer knows of the speed of the servers into account.
+    pub fn merge_speeds(&self, peer: &[SpeedSummary]) {
+        self.lock().speeds.merge(peer);
+    }
+
     /// Sets the number of instances that send requests to the pool, this one included.
     pub fn set_instances(&self, instances: usize) {
         self.lock().instances = u32::try_from(instances.max(1)).unwrap_or(u32::MAX);
--- a/crates/router/src/load/pool/state.rs
+++ b/crates/router/src/load/pool/state.rs
@@ -29,6 +29,7 @@
 use crate::load::rate_limit::{Members, Statement};
 use crate::load::room::Room;
 use crate::load::server::Server;
+use crate::load::server_speed::ServerSpeeds;
 
 /// Fraction of the starvation bound without progress after which the starvation guard acts for a
 /// class.
@@ -112,6 +113,7 @@
     pub(super) partition: Partition,
     /// What is admitted while the servers are crowded.
     pub(super) room: Room,
+    pub(super) speeds: ServerSpeeds,
     /// Instances that send requests to the pool.
     pub(super) instances: u32,
     /// The instances among which rate limits are divided.
