--- a/crates/router/examples/placement_time.rs
+++ b/crates/router/examples/placement_time.rs
@@ -52,6 +52,7 @@
         slots: 128,
         fencing: false,
         leaving: false,
+        spot: false,
         version: None,
     }
 }
--- a/crates/router/src/load/pool/admission.rs
+++ b/crates/router/src/load/pool/admission.rs
@@ -72,6 +72,8 @@
     pub queue_bytes: usize,
     /// Unstarted requests that this instance may have at a server without a free slot.
     pub unstarted: u32,
+    /// Whether requests are refused while the servers have too little room.
+    pub room_limit: bool,
 }
 
 /// Who preempts less important requests at a full server.
--- a/crates/router/src/load/pool/room.rs
+++ b/crates/router/src/load/pool/room.rs
@@ -34,7 +34,7 @@
         prompt: Prompt,
         patience: Patience,
     ) -> Result<(), Fault> {
-        if !prompt.is_known() || admission.first_token_target.is_none() {
+        if !self.limits.room_limit || !prompt.is_known() || admission.first_token_target.is_none() {
             return Ok(());
         }
         let now = Instant::now();
@@ -63,6 +63,9 @@
 
     /// Adapts the room to the load of the servers.
     pub(super) fn update_room(&self, state: &mut State, now: Instant) {
+        if !self.limits.room_limit {
+            return;
+        }
         let before = state.room.is_restricted();
         state.room.update(now);
         let restricted = state.room.is_restricted();
--- a/crates/router/src/load/pools.rs
+++ b/crates/router/src/load/pools.rs
@@ -115,6 +115,7 @@
         let limits = Limits {
             queue_bytes: settings.limits.queue_bytes,
             unstarted: u32::try_from(settings.limits.unstarted).unwrap_or(u32::MAX),
+            room_limit: settings.limits.room,
         };
         Self {
             instance: settings.instance.clone(),
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -131,6 +131,8 @@
     /// Maximum number of requests that the instance may have at one backend server before their first token; 1
     /// to 64.
     pub unstarted: usize,
+    /// Whether requests with known prompts are refused while the backend servers have too little room for them.
+    pub room: bool,
     /// Age up to which an idempotency key can be claimed; 10,000 to 3,600,000 ms.
     pub claim_window_ms: u64,
     /// Maximum duration of a drain; 0 to 86,400,000 ms, where 0 means to wait for all requests.
@@ -148,6 +150,7 @@
             connections: 4_096,
             queue_bytes: 8 << 20,
             unstarted: 1,
+            room: false,
             claim_window_ms: 120_000,
             drain_ms: 0,
         }
@@ -334,6 +337,7 @@
         let settings = Settings::parse("f.toml", &text("")).expect("valid");
 
         assert_eq!(settings.limits.unstarted, 1);
+        assert!(!settings.limits.room);
     }
 
     #[test]
--- a/crates/router/tests/brittleness.rs
+++ b/crates/router/tests/brittleness.rs
@@ -31,6 +31,7 @@
     let limits = Limits {
         queue_bytes: 1 << 20,
         unstarted: 4,
+        room_limit: false,
     };
     let metrics = Arc::new(Metrics::new(None));
     let pool = Pool::new("m".into(), limits, metrics, 1);
--- a/crates/router/tests/lost_servers.rs
+++ b/crates/router/tests/lost_servers.rs
@@ -21,6 +21,7 @@
     let limits = Limits {
         queue_bytes: 1 << 20,
         unstarted: 4,
+        room_limit: false,
     };
     let metrics = Arc::new(Metrics::new(None));
     let pool = Pool::with_preemption("s".into(), limits, metrics, 1, Preemption::ByServer);
--- a/crates/router/tests/pool.rs
+++ b/crates/router/tests/pool.rs
@@ -22,6 +22,7 @@
     let limits = Limits {
         queue_bytes,
         unstarted: 1,
+        room_limit: false,
     };
     let pool = Pool::new("model/m".into(), limits, Arc::new(Metrics::new(None)), 1);
     let servers: Vec<_> = specs
--- a/crates/router/tests/rests.rs
+++ b/crates/router/tests/rests.rs
@@ -26,6 +26,7 @@
     let limits = Limits {
         queue_bytes: 1 << 20,
         unstarted: 4,
+        room_limit: false,
     };
     let pool = Pool::new("m".into(), limits, Arc::new(Metrics::new(None)), 1);
     declare(&pool, names);
--- a/crates/router/tests/server_speed.rs
+++ b/crates/router/tests/server_speed.rs
@@ -191,6 +191,7 @@
         slots: 128,
         fencing: false,
         leaving: false,
+        spot: false,
         version: None,
     }
 }
