--- a/crates/router/tests/room.rs
+++ b/crates/router/tests/room.rs
@@ -28,6 +28,7 @@
         running,
         waiting,
         leaving: false,
+        work_percent: None,
     }
 }
 
--- a/crates/standins/tests/pool_fleet/mod.rs
+++ b/crates/standins/tests/pool_fleet/mod.rs
@@ -18,7 +18,6 @@
         queue_bytes: 1 << 20,
         unstarted: 4,
         room_limit: false,
-        room_limit: false,
     };
     let pools = (0_u64..).take(instances).map(|seed| {
         let metrics = Arc::clone(&metrics);
