--- a/crates/router/src/fleet/duties/collector.rs
+++ b/crates/router/src/fleet/duties/collector.rs
@@ -36,7 +36,10 @@
         if self.instances.len() >= MAX_STARTS && !self.instances.contains_key(&key) {
             return;
         }
-        let offset = counts.now_ms.cast_signed() - now_ms.cast_signed();
+        let offset = counts
+            .now_ms
+            .cast_signed()
+            .saturating_sub(now_ms.cast_signed());
         self.offsets.insert(counts.instance.clone(), offset);
         let state = self.instances.entry(key).or_default();
         state.replied_ms = state.replied_ms.max(counts.now_ms);
@@ -54,7 +57,10 @@
     pub fn time_ms(&self, now_ms: u64) -> u64 {
         let mut offsets: Vec<i64> = self.offsets.values().copied().collect();
         offsets.sort_unstable();
-        let median = offsets.get(offsets.len() / 2).copied().unwrap_or_default();
+        let median = offsets
+            .get(offsets.len().saturating_sub(1) / 2)
+            .copied()
+            .unwrap_or_default();
         now_ms.saturating_add_signed(median)
     }
 
@@ -83,7 +89,8 @@
         let windows = self.instances.values();
         for counts in windows.filter_map(|s| s.windows.get(&window)) {
             for (organisation, requests) in counts {
-                *total.entry(organisation.clone()).or_default() += requests;
+                let sum = total.entry(organisation.clone()).or_default();
+                *sum = sum.saturating_add(*requests);
             }
         }
         UsageReport {
--- a/crates/router/src/fleet/duties/lease.rs
+++ b/crates/router/src/fleet/duties/lease.rs
@@ -404,12 +404,18 @@
 
     fn write(&self, seen: &Seen, token: Token, mark: u64) -> Step {
         let object = seen.reading.object.as_ref();
+        // Until it is known which reports an older copy of the store lacks, the next holder must ask as well.
+        let era = match object {
+            _ if !self.incomplete => seen.reading.era,
+            Some(object) => object.record.era,
+            None => Era::default(),
+        };
         let record = Record {
             holder: self.own.clone(),
             start: self.start,
             token,
             mark,
-            era: seen.reading.era,
+            era,
             ledger: self.ledger.clone(),
         };
         Step::Write(Write {
--- a/crates/router/src/fleet/duties/reporter.rs
+++ b/crates/router/src/fleet/duties/reporter.rs
@@ -42,7 +42,6 @@
     let mut term: Option<Term> = None;
     loop {
         let Some(token) = state.held.token() else {
-            term = None;
             time::sleep(IDLE_TICK.min(duties.settings.lease / 4)).await;
             continue;
         };
@@ -198,7 +197,9 @@
         let report = {
             let lease = held.lease();
             let report = lease.ledger.fixed.first();
-            report.filter(|r| lease.is_stored(r.window)).cloned()
+            report
+                .filter(|r| lease.is_stored(r.window) && !lease.incomplete)
+                .cloned()
         };
         let Some(report) = report.filter(|_| Instant::now() >= term.retry_at) else {
             return;
--- a/crates/router/src/http1/connection.rs
+++ b/crates/router/src/http1/connection.rs
@@ -270,6 +270,7 @@
         self.account.release();
         let account = self.account;
         let first = tokio::select! {
+            biased;
             first = time::timeout(limits.idle_timeout, self.read_first()) => first,
             () = handler.wait_closing() => return Err(ReadError::Closed),
             _ = account.evicted() => return Err(ReadError::Closed),
--- a/crates/router/src/http1/response_writer.rs
+++ b/crates/router/src/http1/response_writer.rs
@@ -57,6 +57,7 @@
     pub(super) const fn reset(&mut self) {
         self.state = State::Unsent;
         self.close = false;
+        self.head_only = false;
     }
 
     /// Whether no byte of the response has been written.
@@ -94,6 +95,7 @@
         } else {
             body
         };
+        self.state = State::Streaming;
         if body.len() <= MAX_COPIED_BYTES {
             bytes.extend_from_slice(body);
             self.write(&bytes).await?;
@@ -187,8 +189,7 @@
     }
 
     async fn write_steadily(&mut self, bytes: &[u8]) -> Result<(), Disconnected> {
-        let held = self.account.held();
-        self.account.hold_response(held + bytes.len());
+        self.account.hold_response(bytes.len());
         let mut rest = bytes;
         while !rest.is_empty() {
             let write = time::timeout(WRITE_TIMEOUT, self.stream.write(rest)).await;
@@ -200,7 +201,7 @@
                 Ok(_) | Err(_) => return Err(Disconnected),
             }
         }
-        self.account.hold_response(held);
+        self.account.hold_response(0);
         Ok(())
     }
 }
--- a/crates/router/src/load/partition.rs
+++ b/crates/router/src/load/partition.rs
@@ -34,7 +34,7 @@
 /// Growth of the headroom of a part all of whose responses miss their pause target: the more requests run at a server,
 /// the longer each of its steps takes.
 const CROWDED_GROWTH: f64 = 8.0;
-/// Largest headroom of a part.
+/// Largest headroom of a crowded part.
 const HEADROOM_MAX: f64 = 4.0;
 /// Fraction of their share of the servers that parts keep whatever the parts before them need.
 const REST_SHARE_MIN: f64 = 0.6;
@@ -199,10 +199,12 @@
         }
     }
 
-    /// Servers of the part relative to its demand.
-    fn headroom(&self) -> f64 {
-        let growth = 1.0 + CROWDED_GROWTH * self.crowded;
-        (HEADROOM * growth).min(HEADROOM_MAX)
+    /// Servers that the part needs beyond its share, as its own requests crowd those that it has; for the average
+    /// instance.
+    fn growth(&self) -> f64 {
+        let headroom = HEADROOM * (1.0 + CROWDED_GROWTH * self.crowded);
+        let servers = self.demand.max(self.slot_servers);
+        servers * (headroom.min(HEADROOM_MAX) - HEADROOM)
     }
 
     fn join(&mut self, other: Self) {
@@ -216,12 +218,13 @@
     }
 }
 
-/// Divides `servers` ranks in proportion to the demand, of which that of all but the last part is weighted with its
-/// headroom. A part gets at least its headroom times the slots that its requests take, as far as the following parts
-/// keep `REST_SHARE_MIN` of their share. A border that has moved little since `before` stays.
+/// Divides `servers` ranks in proportion to the demand, of which that of all but the last part is weighted with
+/// `HEADROOM`. A part gets at least `HEADROOM` times the slots that its requests take, as far as the following parts keep
+/// `REST_SHARE_MIN` of their share. A crowded part gets more, as far as there are servers that no part's demand needs. A
+/// border that has moved little since `before` stays.
 fn borders(parts: &[Part], servers: usize, instances: f64, before: &[usize]) -> Vec<usize> {
     let last = parts.len().saturating_sub(1);
-    let weight = |n: usize, p: &Part| p.demand * if n < last { p.headroom() } else { 1.0 };
+    let weight = |n: usize, p: &Part| p.demand * if n < last { HEADROOM } else { 1.0 };
     let weights: Vec<f64> = parts
         .iter()
         .enumerate()
@@ -229,25 +232,31 @@
         .collect();
     let total: f64 = weights.iter().sum::<f64>().max(f64::MIN_POSITIVE);
     let servers_f = count(servers);
+    let mut unused = (servers_f - total * instances).max(0.0);
     let mut border = 0.0_f64;
+    let mut extra = 0.0_f64;
     let mut share = 0.0_f64;
     let mut borders = Vec::new();
     for (index, part) in parts.iter().enumerate().take(last) {
         let own = weights[index] / total;
         share += own;
         let most = servers_f * (1.0 - (1.0 - share) * REST_SHARE_MIN);
-        let slots = part.slot_servers * instances * part.headroom();
+        let slots = part.slot_servers * instances * HEADROOM;
         border = (border + (own * servers_f).max(slots)).min(most);
+        let growth = (part.growth() * instances).min(unused);
+        unused -= growth;
+        extra += growth;
+        let grown = (border + extra).min(servers_f);
         let same_parts = before.len() == last;
         let kept = before
             .get(index)
-            .filter(|b| same_parts && (count(**b) - border).abs() <= BORDER_TOLERANCE);
+            .filter(|b| same_parts && (count(**b) - grown).abs() <= BORDER_TOLERANCE);
         #[expect(
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss,
             reason = "between 0 and the number of servers"
         )]
-        let rounded = border.round() as usize;
+        let rounded = grown.round() as usize;
         borders.push(kept.copied().unwrap_or(rounded).min(servers));
     }
     borders
--- a/crates/router/src/load/pool/room.rs
+++ b/crates/router/src/load/pool/room.rs
@@ -45,7 +45,7 @@
         let arrival = Arrival {
             level: attributes.level,
             organisation: &attributes.organisation,
-            tokens: prompt.shared + prompt.unique,
+            tokens: prompt.shared.saturating_add(prompt.unique),
             prefill: Duration::from_secs_f64(prefill_ms / 1_000.0),
             left: patience.left,
             returned: patience.returned,
--- a/crates/router/src/load/server_speed.rs
+++ b/crates/router/src/load/server_speed.rs
@@ -145,6 +145,7 @@
         now: Instant,
     ) -> Vec<&'a str> {
         if self.estimates.is_empty() {
+            self.decay(now);
             return Vec::new();
         }
         let names: BTreeMap<NameHash, &str> = servers.map(|name| (name_hash(name), name)).collect();
