--- a/crates/router/tests/store_fleet.rs
+++ b/crates/router/tests/store_fleet.rs
@@ -11,7 +11,7 @@
 use jackdawtally::fleet::replicas::{
     ObjectsRequest, ObjectsResponse, Reaction, ReplicaStatus, Replicas,
 };
-use jackdawtally::frame::PROTOCOL;
+use jackdawtally::frame::{PROTOCOL, REPLICAS_SINCE};
 use jackdawtally::membership::{InstanceId, InstanceRecord, Membership};
 use jackdawtally::rendezvous;
 use tokio::time::{self, Instant};
@@ -259,7 +259,10 @@
     let all = records(65);
     let roles: BTreeSet<bool> = all
         .iter()
-        .map(|own| role(&membership(own, &all), &all[64], PROTOCOL - 1) == StoreRole::Watcher)
+        .map(|own| {
+            let role = role(&membership(own, &all), &all[64], REPLICAS_SINCE - 1);
+            role == StoreRole::Watcher
+        })
         .collect();
 
     assert_eq!(roles, BTreeSet::from([true]));
