--- a/crates/router/src/load/pool/prompts.rs
+++ b/crates/router/src/load/pool/prompts.rs
@@ -104,7 +104,11 @@
         let slots = self.mean_slots();
         self.fleet_demand.observe(self.demand.summaries(slots));
         let before = self.partition.to_string();
-        let demand = self.fleet_demand.summaries();
+        let mut demand = self.fleet_demand.summaries();
+        if self.speeds.is_empty() {
+            // Only where machines differ do own requests crowd some servers and not others.
+            demand.iter_mut().for_each(|class| class.crowded = 0.0);
+        }
         let instances = f64::from(self.instances);
         let lost_servers = self.has_lost_servers(now);
         self.partition.keep_sharing(lost_servers);
--- a/crates/router/src/load/server_speed.rs
+++ b/crates/router/src/load/server_speed.rs
@@ -162,6 +162,12 @@
         changed.collect()
     }
 
+    /// Whether no server of the pool has stated how long work takes on its machine.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.estimates.is_empty()
+    }
+
     /// How many times as long work takes at a server as at the median one, as a power of two.
     #[must_use]
     pub fn slowness(&self, server: &str) -> f64 {
