--- a/crates/router/src/load/pool/prompts.rs
+++ b/crates/router/src/load/pool/prompts.rs
@@ -107,7 +107,9 @@
         let mut demand = self.fleet_demand.summaries();
         if self.speeds.is_empty() {
             // Only where machines differ do own requests crowd some servers and not others.
-            demand.iter_mut().for_each(|class| class.crowded = 0.0);
+            for class in &mut demand {
+                class.crowded = 0.0;
+            }
         }
         let instances = f64::from(self.instances);
         let lost_servers = self.has_lost_servers(now);
