--- a/crates/router/src/http1/response_writer.rs
+++ b/crates/router/src/http1/response_writer.rs
@@ -189,7 +189,8 @@
     }
 
     async fn write_steadily(&mut self, bytes: &[u8]) -> Result<(), Disconnected> {
-        self.account.hold_response(bytes.len());
+        let held = self.account.held();
+        self.account.hold_response(held + bytes.len());
         let mut rest = bytes;
         while !rest.is_empty() {
             let write = time::timeout(WRITE_TIMEOUT, self.stream.write(rest)).await;
@@ -201,7 +202,7 @@
                 Ok(_) | Err(_) => return Err(Disconnected),
             }
         }
-        self.account.hold_response(0);
+        self.account.hold_response(held);
         Ok(())
     }
 }
