--- a/review/standins-2/kit.rs
+++ b/review/standins-2/kit.rs
@@ -244,9 +244,15 @@
     changed: Condvar,
     /// The process whose calls are turned away with 503; 0 for none.
     turned_away: AtomicU32,
+    /// The process whose writes are done late and not answered, and how much later.
+    late: Mutex<Option<(u32, Duration)>>,
+    trace: Mutex<Option<Trace>>,
     pub address: SocketAddr,
 }
 
+/// Is told the kind and the content of each write.
+type Trace = Box<dyn Fn(&str, &str) + Send>;
+
 fn object_text(name: &str, object: &Object) -> String {
     format!(
         "{{\"metadata\":{{\"name\":\"{name}\",\"revision\":{},\"created\":{},\"finalizers\":[],\"deleting\":false}},\
@@ -290,6 +296,8 @@
             content: Mutex::new(content),
             changed: Condvar::new(),
             turned_away: AtomicU32::new(0),
+            late: Mutex::new(None),
+            trace: Mutex::new(None),
             address,
         });
         *shared.lock().unwrap() = Some(Arc::clone(&store));
@@ -309,8 +317,16 @@
         pid != 0 && owns(pid, port)
     }
 
+    /// Calls `trace` with the kind and the content of each write.
+    pub fn trace_writes(&self, trace: impl Fn(&str, &str) + Send + 'static) {
+        *self.trace.lock().unwrap() = Some(Box::new(trace));
+    }
+
     /// Writes an object as the operator or a worker does, and returns the revision.
     pub fn put(&self, kind: &str, name: &str, spec: &str) -> u64 {
+        if let Some(trace) = self.trace.lock().unwrap().as_ref() {
+            trace(kind, spec);
+        }
         let mut content = self.content.lock().unwrap();
         let key = (kind.to_owned(), name.to_owned());
         if let Some(same) = content.objects.get(&key).filter(|o| o.spec == spec) {
@@ -328,6 +344,13 @@
         revision
     }
 
+    /// The content of the objects of a kind.
+    pub fn contents(&self, kind: &str) -> Vec<String> {
+        let content = self.content.lock().unwrap();
+        let found = content.objects.iter().filter(|((k, _), _)| k == kind);
+        found.map(|(_, object)| object.spec.clone()).collect()
+    }
+
     pub fn remove(&self, kind: &str, name: &str) {
         let mut content = self.content.lock().unwrap();
         let Some(mut object) = content.objects.remove(&(kind.to_owned(), name.to_owned())) else { return };
@@ -340,13 +363,34 @@
         self.changed.notify_all();
     }
 
-    fn serve(&self, stream: TcpStream) -> io::Result<()> {
+    /// Does the writes of this process so much later, and doesn't answer them; `None` ends that.
+    pub fn write_late(&self, late: Option<(u32, Duration)>) {
+        *self.late.lock().unwrap() = late;
+    }
+
+    /// How much later a write from this local port is done.
+    fn lateness(&self, request: &Message, port: u16) -> Option<Duration> {
+        let (pid, delay) = (*self.late.lock().unwrap())?;
+        (request.method() != "GET" && owns(pid, port)).then_some(delay)
+    }
+
+    fn serve(self: &Arc<Self>, stream: TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
         let mut reader = Reader::new(&stream)?;
         let mut writer = stream;
         let port = writer.peer_addr()?.port();
         loop {
             let request = reader.message()?;
+            if let Some(delay) = self.lateness(&request, port) {
+                // "A channel on which a response is lost returns nothing further."
+                let (store, request) = (Arc::clone(self), request);
+                thread::spawn(move || {
+                    thread::sleep(delay);
+                    store.answer(&request, port);
+                });
+                while reader.message().is_ok() {}
+                return Ok(());
+            }
             let (status, body) = if self.turns_away(port) { (503, "{}".into()) } else { self.answer(&request, port) };
             thread::sleep(STORE_DELAY);
             let fields = [("Content-Type", "application/json")];
@@ -453,7 +497,7 @@
 
     /// The server's entry in the store.
     pub fn entry(&self, service: &str, zone: &str, slots: u32) -> String {
-        entry(self.address, service, zone, slots)
+        entry(self.address, service, zone, slots, "v1")
     }
 }
 
@@ -477,9 +521,9 @@
 }
 
 /// The entry of a server in the store.
-fn entry(address: SocketAddr, service: &str, zone: &str, slots: u32) -> String {
+fn entry(address: SocketAddr, service: &str, zone: &str, slots: u32, version: &str) -> String {
     format!(
-        "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"{zone}\",\"version\":\"v1\",\"slots\":{slots},\
+        "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"{zone}\",\"version\":\"{version}\",\"slots\":{slots},\
          \"state\":\"ready\",\"cold-remaining-ms\":0,\"stage\":\"both\",\
          \"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],\"sequence\":4}}"
     )
@@ -527,8 +571,9 @@
         }
     }
 
-    pub fn entry(&self, service: &str, zone: &str, slots: u32) -> String {
-        entry(self.address, service, zone, slots)
+    /// The worker's entry in the store, with the version of its software.
+    pub fn entry(&self, service: &str, zone: &str, slots: u32, version: &str) -> String {
+        entry(self.address, service, zone, slots, version)
     }
 }
 
@@ -619,6 +664,7 @@
     pub ip: Ipv4Addr,
     settings: PathBuf,
     log: PathBuf,
+    started: bool,
     child: Option<Child>,
 }
 
@@ -666,11 +712,15 @@
         );
         fs::write(&settings, text).unwrap_or_else(|e| not_run(&e.to_string()));
         let log = folder.join(format!("{name}.log"));
-        Self { name, ip, settings, log, child: None }
+        Self { name, ip, settings, log, started: false, child: None }
     }
 
-    /// Starts the program with the command of the deploy file.
+    /// Starts the program with the command of the deploy file. `bootstrap` is true for the first start only.
     pub fn start(&mut self) {
+        if std::mem::replace(&mut self.started, true) {
+            let text = fs::read_to_string(&self.settings).unwrap_or_default();
+            let _ = fs::write(&self.settings, text.replace("bootstrap=true", "bootstrap=false"));
+        }
         let deploy = fs::read_to_string("deploy/system.toml").unwrap_or_else(|e| not_run(&e.to_string()));
         let run = deploy.lines().find_map(|l| l.strip_prefix("run = ")).unwrap_or_default();
         let mut words = run.trim_matches('"').split(' ');
