--- a/review/standins-2/kit.rs
+++ b/review/standins-2/kit.rs
@@ -54,9 +54,15 @@
     }
 }
 
-/// Ends the case because it couldn't run.
+/// The processes that the case has started.
+static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Ends the case, and the processes that it started, because it couldn't run.
 pub fn not_run(reason: &str) -> ! {
     eprintln!("the case couldn't run: {reason}");
+    for pid in STARTED.lock().unwrap().iter() {
+        let _ = Command::new("kill").args(["-s", "KILL", &pid.to_string()]).stderr(Stdio::null()).status();
+    }
     std::process::exit(NOT_RUN)
 }
 
@@ -739,7 +745,9 @@
             .stdout(log)
             .stderr(errors)
             .spawn();
-        self.child = Some(child.unwrap_or_else(|e| not_run(&format!("{program}: {e}"))));
+        let child = child.unwrap_or_else(|e| not_run(&format!("{program}: {e}")));
+        STARTED.lock().unwrap().push(child.id());
+        self.child = Some(child);
     }
 
     pub fn pid(&self) -> u32 {
@@ -749,12 +757,16 @@
     /// Whether the process has ended by itself; if so, it is no longer known.
     pub fn ended(&mut self) -> Option<String> {
         let status = self.child.as_mut()?.try_wait().ok()??;
+        let pid = self.pid();
+        STARTED.lock().unwrap().retain(|p| *p != pid);
         self.child = None;
         Some(status.to_string())
     }
 
     /// Ends the process at once (SIGKILL).
     pub fn kill(&mut self) {
+        let pid = self.pid();
+        STARTED.lock().unwrap().retain(|p| *p != pid);
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
             let _ = child.wait();
