Log each write of a version record

Cause: the logs name what an instance reads of the records of versions, not what it writes, so that a record that is wrong can't be followed to its writer.

Change: versions.recorded, with the service, the version, since when, and whether the store answered.

--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -54,6 +54,11 @@
         fields: &["service", "version", "age_ms", "outcome"],
         meaning: "the store has a record since when all servers of the service have had one version; the outcome is `trusted`, or `other` if this instance has seen another one",
     },
+    EventSpec {
+        name: "versions.recorded",
+        fields: &["service", "version", "since_ms", "outcome"],
+        meaning: "this instance writes since when all servers of the service have had one version, or that they have several (no `version`); the outcome is `written`, or `failed` if the store rejects it or sends no response, and may write it later",
+    },
     EventSpec {
         name: "config.taken",
         fields: &["version", "revision", "outcome", "reason"],
--- a/crates/router/src/fleet/version_records.rs
+++ b/crates/router/src/fleet/version_records.rs
@@ -161,12 +161,23 @@
             version: version.clone(),
             since_ms,
         };
-        store.put(&record).await?;
+        let written = store.put(&record).await;
+        log_written(&record, if written.is_ok() { "written" } else { "failed" });
+        written?;
         self.known.insert(service, common);
         Ok(())
     }
 }
 
+fn log_written(record: &VersionRecord, outcome: &str) {
+    Line::new("versions.recorded")
+        .field("service", &record.service)
+        .optional_field("version", record.version.as_ref())
+        .field("since_ms", record.since_ms)
+        .field("outcome", outcome)
+        .write(log::Level::Info);
+}
+
 /// Tells a pool what its record says of the time before this instance started.
 fn apply(pool: &Pool, record: &VersionRecord) {
     let age = Duration::from_millis(changelog::now_ms().saturating_sub(record.since_ms));
