A record of versions that is written late replaces no later one (ORDER)

Cause: an instance wrote since when a service has had one version by a plain PUT. The call got no response, the store carried it out 5 s later, and it replaced what all instances, the writer included, had recorded since: that there were several versions. Instances that started anew trusted it.

Change: a write names the revision of the record that it follows, so that one which is carried out late finds another revision and changes nothing. A record names the position of the list of servers that it is based on; an instance whose list is older leaves it alone, and one that finds its own view there doesn't write it again. A version counts as the only one since ever on a first start only once the store has that record: an instance believed it before its write, and replaced what another one had recorded in the meantime.

Four more in crates/router/tests/version_records.rs are of the new interface.

--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -56,8 +56,8 @@
     },
     EventSpec {
         name: "versions.recorded",
-        fields: &["service", "version", "since_ms", "outcome"],
-        meaning: "this instance writes since when all servers of the service have had one version, or that they have several (no `version`); the outcome is `written`, or `failed` if the store rejects it or sends no response, and may write it later",
+        fields: &["service", "version", "since_ms", "list_revision", "outcome"],
+        meaning: "this instance writes since when all servers of the service have had one version, or that they have several (no `version`); the outcome is `written`, `other` if the store has one that this instance didn't know, `gone` if the one to replace is gone, or `failed` if the store rejects it or sends no response, and may write it later; `list_revision` is that of the list of servers on which it is based",
     },
     EventSpec {
         name: "config.taken",
--- a/crates/router/src/fleet/mod.rs
+++ b/crates/router/src/fleet/mod.rs
@@ -10,6 +10,7 @@
 pub mod link;
 pub mod links;
 pub mod list_confirmation;
+pub mod list_position;
 pub mod membership;
 pub mod object_history;
 pub mod origin;
--- a/crates/router/src/fleet/version_records.rs
+++ b/crates/router/src/fleet/version_records.rs
@@ -1,5 +1,9 @@
 //! Keeps in a store since when each service has had one software version only, so that instances which all start anew
 //! know whether a stream can have begun at another one.
+//!
+//! Several instances write the same record, and the store may carry out a write seconds after its call was given up. So
+//! each write names the change of the record that it follows, and a record names the position of the list of servers
+//! on which it is based: an instance whose list is older leaves it alone.
 
 use std::collections::{HashMap, HashSet};
 use std::fmt::Display;
@@ -13,6 +17,7 @@
 use crate::config::changelog;
 use crate::event::Line;
 use crate::fleet::links::{self, StoreRole};
+use crate::fleet::replica::{Position, Revision};
 use crate::load::pool::{CommonVersion, Pool};
 use crate::node::Node;
 
@@ -35,18 +40,35 @@
     pub version: Option<SmolStr>,
     /// Since when, in Unix milliseconds.
     pub since_ms: u64,
+    /// The position of the list of servers that shows it; zero in records of older builds.
+    pub position: Position,
+}
+
+/// A record as the store has it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoredRecord {
+    /// The record.
+    pub record: VersionRecord,
+    /// The record's last change, on which a write is based.
+    pub revision: Revision,
 }
 
 /// The store of the platform that the process runs on.
 pub trait VersionStore: Send + Sync {
-    /// Why a call failed.
+    /// Why a call has no known outcome. The store may have carried it out, or may do so later if its condition still
+    /// holds.
     type Error: Display + Send;
 
-    /// The records of all services.
-    fn list(&self) -> impl Future<Output = Result<Vec<VersionRecord>, Self::Error>> + Send;
+    /// The records of all services, up to date.
+    fn list(&self) -> impl Future<Output = Result<Vec<StoredRecord>, Self::Error>> + Send;
 
-    /// Writes a record, or replaces it.
-    fn put(&self, record: &VersionRecord) -> impl Future<Output = Result<(), Self::Error>> + Send;
+    /// Writes a record if the stored one still has the revision `follows`, or if there is none and that is `None`.
+    /// Returns the record after the call, whether this wrote it or not; `None` if there is none.
+    fn replace(
+        &self,
+        record: &VersionRecord,
+        follows: Option<Revision>,
+    ) -> impl Future<Output = Result<Option<StoredRecord>, Self::Error>> + Send;
 }
 
 /// Reads the records, and then writes those of services whose version changes. The instances that watch the store for
@@ -77,6 +99,55 @@
     }
 }
 
+/// The versions that an instance sees a service have.
+#[derive(Clone, Debug)]
+struct Observation {
+    common: CommonVersion,
+    /// The position of the list of servers.
+    position: Position,
+}
+
+impl Observation {
+    /// What `pool` shows; `None` as long as it has had no server.
+    fn of(node: &Node, pool: &Pool) -> Option<Self> {
+        let (position, common) = node.list_position.read(|| pool.common_version());
+        common.map(|common| Self { common, position })
+    }
+}
+
+/// The record of one service as this instance last found it in the store.
+#[derive(Clone, Debug)]
+struct KnownRecord {
+    stored: StoredRecord,
+    /// How many of the changes that this instance saw the record takes into account; `None` if that isn't known.
+    covered: Option<u64>,
+}
+
+impl KnownRecord {
+    /// Takes in what the store has, which may be the record of another instance. `before` is what was known until now.
+    fn adopt(stored: StoredRecord, before: Option<&Self>, own: &Observation) -> Self {
+        let position = stored.record.position;
+        let covered = match before {
+            _ if position >= own.position => Some(own.common.changes),
+            // What was before this instance started is in the record.
+            None => Some(0),
+            Some(before) if position >= before.stored.record.position => before.covered,
+            Some(_) => None,
+        };
+        Self { stored, covered }
+    }
+
+    /// Whether the record is based on a later list of servers than `own`.
+    fn is_ahead(&self, own: &Observation) -> bool {
+        self.stored.record.position > own.position
+    }
+
+    /// Whether the record says what `own` shows.
+    fn agrees(&self, own: &Observation) -> bool {
+        self.stored.record.version == own.common.version && self.covered == Some(own.common.changes)
+    }
+}
+
 /// What this instance knows of the records.
 #[derive(Default)]
 struct Records {
@@ -85,8 +156,8 @@
     wanted: bool,
     /// The services whose records, if any, were read.
     read: HashSet<SmolStr>,
-    /// The versions that the store has, as of which of their changes.
-    known: HashMap<SmolStr, CommonVersion>,
+    /// The records that the store has.
+    known: HashMap<SmolStr, KnownRecord>,
 }
 
 impl Records {
@@ -101,11 +172,11 @@
         let pools: Vec<Arc<Pool>> = pools.into_iter().filter(seen).collect();
         let unread = pools.iter().any(|p| !self.read.contains(p.name()));
         if unread && (writes || self.wanted) {
-            self.read(&pools, store.list().await?);
+            self.read(node, &pools, store.list().await?);
         }
         if writes {
             for pool in &pools {
-                self.write_change(pool, store).await?;
+                self.write_change(node, pool, store).await?;
             }
         }
         Ok(())
@@ -113,67 +184,86 @@
 
     /// Applies the records of pools whose servers were seen before the records were read: what came in between would
     /// be unknown otherwise.
-    fn read(&mut self, pools: &[Arc<Pool>], records: Vec<VersionRecord>) {
-        let mut records: HashMap<SmolStr, VersionRecord> = records
+    fn read(&mut self, node: &Node, pools: &[Arc<Pool>], records: Vec<StoredRecord>) {
+        let mut records: HashMap<SmolStr, StoredRecord> = records
             .into_iter()
-            .map(|r| (r.service.clone(), r))
+            .map(|r| (r.record.service.clone(), r))
             .collect();
         for pool in pools {
             let service = pool.name();
             if !self.read.insert(service.clone()) {
                 continue;
             }
-            let Some((record, seen)) = records.remove(service).zip(pool.common_version()) else {
+            let Some((stored, own)) = records.remove(service).zip(Observation::of(node, pool))
+            else {
                 continue;
             };
-            apply(pool, &record);
-            let known = CommonVersion {
-                version: record.version,
-                ..seen
-            };
-            self.known.insert(service.clone(), known);
+            self.adopt(pool, stored, &own);
         }
     }
 
     async fn write_change<S: VersionStore>(
         &mut self,
+        node: &Node,
         pool: &Pool,
         store: &S,
     ) -> Result<(), S::Error> {
-        let Some(common) = pool.common_version() else {
+        let Some(own) = Observation::of(node, pool) else {
             return Ok(());
         };
-        let service = pool.name().clone();
-        let known = self.known.get(&service);
-        if known == Some(&common) {
+        let known = self.known.get(pool.name());
+        if known.is_some_and(|k| k.is_ahead(&own) || k.agrees(&own)) {
             return Ok(());
         }
-        let version = &common.version;
-        // Nothing was before, unless this instance has itself seen another version.
-        let since_ever = known.is_none()
-            && self.first_start
-            && version
-                .as_ref()
-                .is_some_and(|v| pool.trust_version(v, Duration::MAX));
-        let since_ms = if since_ever { 0 } else { changelog::now_ms() };
         let record = VersionRecord {
-            service: service.clone(),
-            version: version.clone(),
-            since_ms,
+            service: pool.name().clone(),
+            version: own.common.version.clone(),
+            since_ms: self.since_ms(pool, &own),
+            position: own.position,
         };
-        let written = store.put(&record).await;
-        log_written(&record, if written.is_ok() { "written" } else { "failed" });
-        written?;
-        self.known.insert(service, common);
+        let follows = known.map(|k| k.stored.revision);
+        let replaced = store.replace(&record, follows).await;
+        log_replaced(&record, replaced.as_ref());
+        match replaced? {
+            Some(stored) => self.adopt(pool, stored, &own),
+            None => drop(self.known.remove(pool.name())),
+        }
         Ok(())
     }
+
+    /// Since when a service without a record that says the same has had the version that `own` shows.
+    fn since_ms(&self, pool: &Pool, own: &Observation) -> u64 {
+        let recorded = self.known.contains_key(pool.name());
+        // Nothing was before, unless this instance has itself seen another version.
+        let only = |version: &SmolStr| pool.has_seen_only(version);
+        let since_ever =
+            self.first_start && !recorded && own.common.version.as_ref().is_some_and(only);
+        if since_ever { 0 } else { changelog::now_ms() }
+    }
+
+    /// Takes in what the store has. What was before this instance started follows from the first record that it finds.
+    fn adopt(&mut self, pool: &Pool, stored: StoredRecord, own: &Observation) {
+        let before = self.known.get(pool.name());
+        if before.is_none() {
+            apply(pool, &stored.record);
+        }
+        let known = KnownRecord::adopt(stored, before, own);
+        self.known.insert(pool.name().clone(), known);
+    }
 }
 
-fn log_written(record: &VersionRecord, outcome: &str) {
+fn log_replaced<E>(record: &VersionRecord, replaced: Result<&Option<StoredRecord>, &E>) {
+    let outcome = match replaced {
+        Ok(Some(stored)) if stored.record == *record => "written",
+        Ok(Some(_)) => "other",
+        Ok(None) => "gone",
+        Err(_) => "failed",
+    };
     Line::new("versions.recorded")
         .field("service", &record.service)
         .optional_field("version", record.version.as_ref())
         .field("since_ms", record.since_ms)
+        .field("list_revision", record.position.revision)
         .field("outcome", outcome)
         .write(log::Level::Info);
 }
--- a/crates/router/src/load/pool/versions.rs
+++ b/crates/router/src/load/pool/versions.rs
@@ -50,6 +50,11 @@
     fn age(&self) -> Duration {
         self.before.saturating_add(self.seen.elapsed())
     }
+
+    /// Whether it is `version`, and this instance has seen no other.
+    fn is_first(&self, version: &str) -> bool {
+        self.first && self.version == version
+    }
 }
 
 impl SeenVersions {
@@ -151,11 +156,20 @@
         self.lock().versions.restart(now);
     }
 
+    /// Whether this instance has seen no other version than this one, and can't have missed one.
+    #[must_use]
+    pub fn has_seen_only(&self, version: &str) -> bool {
+        match &self.lock().versions.seen {
+            SeenVersions::Single(single) => single.is_first(version),
+            SeenVersions::Unseen | SeenVersions::Mixed => false,
+        }
+    }
+
     /// Takes into account that all servers have had this version for `time`, which may reach back before the instance
     /// first saw any. Returns `false` if it has seen another one, or may have missed one.
     pub fn trust_version(&self, version: &str, time: Duration) -> bool {
         match &mut self.lock().versions.seen {
-            SeenVersions::Single(single) if single.first && single.version == version => {
+            SeenVersions::Single(single) if single.is_first(version) => {
                 single.before = time.saturating_sub(single.seen.elapsed());
                 true
             }
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -17,6 +17,7 @@
 use crate::fleet::leaving_servers::{LeavingNotice, LeavingServers};
 use crate::fleet::links::PeerLinks;
 use crate::fleet::list_confirmation::ListConfirmation;
+use crate::fleet::list_position::ListPosition;
 use crate::fleet::membership::{InstanceRecord, InstanceState, Membership};
 use crate::fleet::replicas::Replicas;
 use crate::fleet::stream_origins::StreamOrigins;
@@ -48,6 +49,8 @@
     pub replicas: Replicas,
     /// Confirms the list of backend servers.
     pub server_list: ListConfirmation,
+    /// The position up to which the pools follow that list.
+    pub list_position: ListPosition,
     /// Notified when a caller takes up a stream and it isn't known which versions served before.
     pub version_demand: Notify,
     /// Calls to the platform that one instance makes for all; `None` if the deployment has none.
@@ -91,6 +94,7 @@
             leaving_servers: LeavingServers::default(),
             replicas: Replicas::default(),
             server_list: ListConfirmation::default(),
+            list_position: ListPosition::default(),
             version_demand: Notify::new(),
             stream_origins: StreamOrigins::default(),
             backend_client: BackendClient::default(),
--- a/crates/router/tests/version_records.rs
+++ b/crates/router/tests/version_records.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use jackdawtally::changelog;
-use jackdawtally::fleet::version_records::{self, VersionRecord, VersionStore};
+use jackdawtally::fleet::replica::{Position, Revision};
+use jackdawtally::fleet::version_records::{self, StoredRecord, VersionRecord, VersionStore};
 use jackdawtally::node::Node;
 use jackdawtally::object::BackendServer;
 use tokio::time;
@@ -14,11 +15,17 @@
 /// Time in which an instance writes what has changed.
 const WRITE_TIME: Duration = Duration::from_secs(5);
 
-/// A store that fails until it is told to work.
+/// A store that fails until it is told to work, and that carries out held writes late.
 #[derive(Default)]
 struct Store {
     works: Mutex<bool>,
-    records: Mutex<Vec<VersionRecord>>,
+    /// The service's record.
+    stored: Mutex<Option<StoredRecord>>,
+    /// Whether lists lack the record, as one that is made too early.
+    unlisted: Mutex<bool>,
+    /// Whether writes are neither carried out nor answered.
+    holds: Mutex<bool>,
+    held: Mutex<Vec<(VersionRecord, Option<Revision>)>>,
 }
 
 impl Store {
@@ -26,8 +33,46 @@
         *self.works.lock().expect("not poisoned") = true;
     }
 
+    fn set_holds(&self, holds: bool) {
+        *self.holds.lock().expect("not poisoned") = holds;
+    }
+
+    fn set_unlisted(&self, unlisted: bool) {
+        *self.unlisted.lock().expect("not poisoned") = unlisted;
+    }
+
     fn record(&self) -> Option<VersionRecord> {
-        self.records.lock().expect("not poisoned").last().cloned()
+        let stored = self.stored.lock().expect("not poisoned");
+        stored.as_ref().map(|s| s.record.clone())
+    }
+
+    /// Writes as another instance does.
+    fn put(&self, record: &VersionRecord) {
+        let follows = self.revision();
+        self.carry_out(record, follows);
+    }
+
+    /// Carries out the writes that were held, as far as their conditions hold.
+    fn carry_out_held(&self) {
+        let held = std::mem::take(&mut *self.held.lock().expect("not poisoned"));
+        for (record, follows) in held {
+            self.carry_out(&record, follows);
+        }
+    }
+
+    fn revision(&self) -> Option<Revision> {
+        let stored = self.stored.lock().expect("not poisoned");
+        stored.as_ref().map(|s| s.revision)
+    }
+
+    fn carry_out(&self, record: &VersionRecord, follows: Option<Revision>) {
+        if follows == self.revision() {
+            let stored = StoredRecord {
+                record: record.clone(),
+                revision: follows.unwrap_or_default() + 1,
+            };
+            *self.stored.lock().expect("not poisoned") = Some(stored);
+        }
     }
 
     fn check(&self) -> Result<(), &'static str> {
@@ -39,18 +84,42 @@
 impl VersionStore for Store {
     type Error = &'static str;
 
-    async fn list(&self) -> Result<Vec<VersionRecord>, Self::Error> {
+    async fn list(&self) -> Result<Vec<StoredRecord>, Self::Error> {
         self.check()?;
-        Ok(self.records.lock().expect("not poisoned").clone())
+        let unlisted = *self.unlisted.lock().expect("not poisoned");
+        let stored = self.stored.lock().expect("not poisoned");
+        Ok(stored.iter().filter(|_| !unlisted).cloned().collect())
     }
 
-    async fn put(&self, record: &VersionRecord) -> Result<(), Self::Error> {
+    async fn replace(
+        &self,
+        record: &VersionRecord,
+        follows: Option<Revision>,
+    ) -> Result<Option<StoredRecord>, Self::Error> {
         self.check()?;
-        self.records
-            .lock()
-            .expect("not poisoned")
-            .push(record.clone());
-        Ok(())
+        if *self.holds.lock().expect("not poisoned") {
+            let mut held = self.held.lock().expect("not poisoned");
+            held.push((record.clone(), follows));
+            return Err("no response");
+        }
+        self.carry_out(record, follows);
+        Ok(self.stored.lock().expect("not poisoned").clone())
+    }
+}
+
+/// Declares a server of this version to the instance, by a list of servers at this revision.
+fn declare_at(node: &Node, version: &str, revision: Revision) {
+    let position = Position { era: 0, revision };
+    node.list_position
+        .advance(position, || declare(node, version));
+}
+
+fn record_at(version: &str, since_ms: u64, revision: Revision) -> VersionRecord {
+    VersionRecord {
+        service: "s".into(),
+        version: Some(version.into()),
+        since_ms,
+        position: Position { era: 0, revision },
     }
 }
 
@@ -128,20 +197,98 @@
 async fn record_that_is_older_than_the_list_of_servers_is_read_again() {
     let (node, store) = (common::node(), Arc::new(Store::default()));
     store.set_works();
-    let record = |version: &str, since_ms| VersionRecord {
-        service: "s".into(),
-        version: Some(version.into()),
-        since_ms,
-    };
-    store.put(&record("v1", 0)).await.expect("it works");
+    store.put(&record_at("v1", 0, 0));
     start(&node, &store);
     time::sleep(WRITE_TIME).await;
 
     let recently = changelog::now_ms();
-    store.put(&record("v1", recently)).await.expect("it works");
+    store.put(&record_at("v1", recently, 0));
     declare(&node, "v1");
     time::sleep(WRITE_TIME).await;
 
     let pool = node.pools.get("s").expect("the pool is there");
     assert_eq!(pool.only_version(Duration::from_mins(1)), None);
 }
+
+/// A write whose call had got no response was carried out after a later one, and the record named a version that had
+/// been replaced.
+#[tokio::test(start_paused = true)]
+async fn write_that_is_carried_out_late_replaces_no_later_one() {
+    let (node, store) = (common::node(), Arc::new(Store::default()));
+    store.set_works();
+    declare_at(&node, "v1", 1);
+    start(&node, &store);
+    time::sleep(WRITE_TIME).await;
+    store.set_holds(true);
+    declare_at(&node, "v2", 2);
+    time::sleep(WRITE_TIME).await;
+
+    store.set_holds(false);
+    declare_at(&node, "v3", 3);
+    time::sleep(WRITE_TIME).await;
+    store.carry_out_held();
+
+    let record = store.record().expect("a record");
+    assert_eq!(record.version.as_deref(), Some("v3"));
+}
+
+/// An instance whose list of servers is some seconds old would replace what others have recorded since.
+#[tokio::test(start_paused = true)]
+async fn instance_with_an_older_list_replaces_no_record() {
+    let (node, store) = (common::node(), Arc::new(Store::default()));
+    store.set_works();
+    declare_at(&node, "v1", 1);
+    start(&node, &store);
+    time::sleep(WRITE_TIME).await;
+    let later = record_at("v3", changelog::now_ms(), 5);
+    store.put(&later);
+
+    declare_at(&node, "v2", 2);
+    time::sleep(WRITE_TIME).await;
+    let behind = store.record();
+    declare_at(&node, "v4", 6);
+    time::sleep(WRITE_TIME).await;
+
+    assert_eq!(behind, Some(later));
+    let record = store.record().expect("a record");
+    assert_eq!(record.version.as_deref(), Some("v4"));
+}
+
+/// Of several instances that see the same change one writes it; the others find their own view in the store.
+#[tokio::test(start_paused = true)]
+async fn change_that_all_instances_see_is_recorded_once() {
+    let nodes = [common::node(), common::node(), common::node()];
+    let store = Arc::new(Store::default());
+    store.set_works();
+    for node in &nodes {
+        declare_at(node, "v1", 1);
+        start(node, &store);
+    }
+    time::sleep(WRITE_TIME).await;
+    let before = store.revision();
+
+    for node in &nodes {
+        declare_at(node, "v2", 2);
+    }
+    time::sleep(WRITE_TIME).await;
+
+    assert_eq!((before, store.revision()), (Some(1), Some(2)));
+}
+
+/// Two instances of a first start found no record. The one that wrote second believed what it had seen, since ever,
+/// though the other had seen another version before.
+#[tokio::test(start_paused = true)]
+async fn first_start_believes_the_record_that_another_instance_writes_first() {
+    let (node, store) = (common::node(), Arc::new(Store::default()));
+    store.set_works();
+    start(&node, &store);
+    declare_at(&node, "v2", 2);
+    time::sleep(Duration::from_secs(1)).await;
+
+    store.set_unlisted(true);
+    store.put(&record_at("v2", changelog::now_ms(), 2));
+    time::sleep(WRITE_TIME).await;
+
+    let pool = node.pools.get("s").expect("the pool is there");
+    assert_eq!(pool.only_version(Duration::from_mins(1)), None);
+}
