Writers of version records look at them again

What an older build beside this one writes without a condition, or an instance that is gone and whose call is carried out late, stayed, and instances that all started anew trusted it.

Change: the instances that write the records read them every 2 s, by a list that may be some seconds old (a tenth of the price, outside of the rate). A record that has changed since is taken in; if it says something else than this instance sees, or is based on an older list of servers than the record before, it is written again, with a condition. A list that is older than what the instance knows changes nothing.

Two in crates/router/tests/version_records.rs are of the new interface.

--- a/crates/router/src/fleet/version_records.rs
+++ b/crates/router/src/fleet/version_records.rs
@@ -23,6 +23,8 @@
 
 /// Time between two comparisons of the versions with their records.
 const INTERVAL: Duration = Duration::from_millis(200);
+/// Time between two reads of the records by an instance that writes them.
+const CHECK_INTERVAL: Duration = Duration::from_secs(2);
 /// Time after the start before an instance writes: by then it knows the others, and so whether it is one of those
 /// that write.
 const WARM_UP: Duration = Duration::from_secs(2);
@@ -50,7 +52,16 @@
     /// The record.
     pub record: VersionRecord,
     /// The record's last change, on which a write is based.
-    pub revision: Revision,
+    pub changed: Position,
+}
+
+/// The records of all services.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RecordList {
+    /// The records.
+    pub records: Vec<StoredRecord>,
+    /// The position of the store that had them.
+    pub position: Position,
 }
 
 /// The store of the platform that the process runs on.
@@ -60,7 +71,10 @@
     type Error: Display + Send;
 
     /// The records of all services, up to date.
-    fn list(&self) -> impl Future<Output = Result<Vec<StoredRecord>, Self::Error>> + Send;
+    fn list(&self) -> impl Future<Output = Result<RecordList, Self::Error>> + Send;
+
+    /// The records of all services, possibly some seconds out of date.
+    fn list_stale(&self) -> impl Future<Output = Result<RecordList, Self::Error>> + Send;
 
     /// Writes a record if the stored one still has the revision `follows`, or if there is none and that is `None`.
     /// Returns the record after the call, whether this wrote it or not; `None` if there is none.
@@ -158,6 +172,8 @@
     read: HashSet<SmolStr>,
     /// The records that the store has.
     known: HashMap<SmolStr, KnownRecord>,
+    /// When they were last compared with the store.
+    checked: Option<Instant>,
 }
 
 impl Records {
@@ -172,16 +188,40 @@
         let pools: Vec<Arc<Pool>> = pools.into_iter().filter(seen).collect();
         let unread = pools.iter().any(|p| !self.read.contains(p.name()));
         if unread && (writes || self.wanted) {
-            self.read(node, &pools, store.list().await?);
+            self.read(node, &pools, store.list().await?.records);
         }
         if writes {
             for pool in &pools {
                 self.write_change(node, pool, store).await?;
             }
+            if self.checked.is_none_or(|at| at.elapsed() >= CHECK_INTERVAL) {
+                self.checked = Some(Instant::now());
+                self.check(node, &pools, &store.list_stale().await?);
+            }
         }
         Ok(())
     }
 
+    /// Takes in records that have changed since this instance read or wrote them: an older build replaces any, and a write
+    /// of an instance that is gone may be carried out late. What they get wrong is written again.
+    fn check(&mut self, node: &Node, pools: &[Arc<Pool>], list: &RecordList) {
+        for pool in pools {
+            let service = pool.name();
+            let Some(known) = self.known.get(service) else {
+                continue;
+            };
+            let changed = known.stored.changed;
+            let found = list.records.iter().find(|r| r.record.service == *service);
+            match found.zip(Observation::of(node, pool)) {
+                // The list is older than what is known.
+                _ if list.position < changed => {}
+                Some((found, _)) if found.changed == changed => {}
+                Some((found, own)) => self.adopt(pool, found.clone(), &own),
+                None => drop(self.known.remove(service)),
+            }
+        }
+    }
+
     /// Applies the records of pools whose servers were seen before the records were read: what came in between would
     /// be unknown otherwise.
     fn read(&mut self, node: &Node, pools: &[Arc<Pool>], records: Vec<StoredRecord>) {
@@ -221,7 +261,7 @@
             since_ms: self.since_ms(pool, &own),
             position: own.position,
         };
-        let follows = known.map(|k| k.stored.revision);
+        let follows = known.map(|k| k.stored.changed.revision);
         let replaced = store.replace(&record, follows).await;
         log_replaced(&record, replaced.as_ref());
         match replaced? {
--- a/crates/router/tests/version_records.rs
+++ b/crates/router/tests/version_records.rs
@@ -7,7 +7,9 @@
 
 use jackdawtally::changelog;
 use jackdawtally::fleet::replica::{Position, Revision};
-use jackdawtally::fleet::version_records::{self, StoredRecord, VersionRecord, VersionStore};
+use jackdawtally::fleet::version_records::{
+    self, RecordList, StoredRecord, VersionRecord, VersionStore,
+};
 use jackdawtally::node::Node;
 use jackdawtally::object::BackendServer;
 use tokio::time;
@@ -23,6 +25,8 @@
     stored: Mutex<Option<StoredRecord>>,
     /// Whether lists lack the record, as one that is made too early.
     unlisted: Mutex<bool>,
+    /// An older list, for those who take one.
+    stale: Mutex<Option<RecordList>>,
     /// Whether writes are neither carried out nor answered.
     holds: Mutex<bool>,
     held: Mutex<Vec<(VersionRecord, Option<Revision>)>>,
@@ -37,6 +41,13 @@
         *self.holds.lock().expect("not poisoned") = holds;
     }
 
+    /// Shows the present list for good to those who take an older one.
+    fn freeze_stale(&self) {
+        let stored = self.stored.lock().expect("not poisoned");
+        let present = list(stored.iter().cloned().collect());
+        *self.stale.lock().expect("not poisoned") = Some(present);
+    }
+
     fn set_unlisted(&self, unlisted: bool) {
         *self.unlisted.lock().expect("not poisoned") = unlisted;
     }
@@ -62,14 +73,14 @@
 
     fn revision(&self) -> Option<Revision> {
         let stored = self.stored.lock().expect("not poisoned");
-        stored.as_ref().map(|s| s.revision)
+        stored.as_ref().map(|s| s.changed.revision)
     }
 
     fn carry_out(&self, record: &VersionRecord, follows: Option<Revision>) {
         if follows == self.revision() {
             let stored = StoredRecord {
                 record: record.clone(),
-                revision: follows.unwrap_or_default() + 1,
+                changed: at(follows.unwrap_or_default() + 1),
             };
             *self.stored.lock().expect("not poisoned") = Some(stored);
         }
@@ -84,11 +95,21 @@
 impl VersionStore for Store {
     type Error = &'static str;
 
-    async fn list(&self) -> Result<Vec<StoredRecord>, Self::Error> {
+    async fn list(&self) -> Result<RecordList, Self::Error> {
         self.check()?;
         let unlisted = *self.unlisted.lock().expect("not poisoned");
         let stored = self.stored.lock().expect("not poisoned");
-        Ok(stored.iter().filter(|_| !unlisted).cloned().collect())
+        let stored = stored.iter().filter(|_| !unlisted).cloned();
+        Ok(list(stored.collect()))
+    }
+
+    async fn list_stale(&self) -> Result<RecordList, Self::Error> {
+        self.check()?;
+        let stale = self.stale.lock().expect("not poisoned").clone();
+        match stale {
+            Some(stale) => Ok(stale),
+            None => VersionStore::list(self).await,
+        }
     }
 
     async fn replace(
@@ -107,11 +128,23 @@
     }
 }
 
+const fn at(revision: Revision) -> Position {
+    Position { era: 0, revision }
+}
+
+/// A list as of the last change of these records.
+fn list(records: Vec<StoredRecord>) -> RecordList {
+    let changed = records.iter().map(|r| r.changed);
+    RecordList {
+        position: changed.max().unwrap_or_default(),
+        records,
+    }
+}
+
 /// Declares a server of this version to the instance, by a list of servers at this revision.
 fn declare_at(node: &Node, version: &str, revision: Revision) {
-    let position = Position { era: 0, revision };
     node.list_position
-        .advance(position, || declare(node, version));
+        .advance(at(revision), || declare(node, version));
 }
 
 fn record_at(version: &str, since_ms: u64, revision: Revision) -> VersionRecord {
@@ -119,7 +152,7 @@
         service: "s".into(),
         version: Some(version.into()),
         since_ms,
-        position: Position { era: 0, revision },
+        position: at(revision),
     }
 }
 
@@ -292,3 +325,40 @@
     let pool = node.pools.get("s").expect("the pool is there");
     assert_eq!(pool.only_version(Duration::from_mins(1)), None);
 }
+
+/// A record that an older build had replaced, or an instance that is gone, stayed as it was until a version changed.
+#[tokio::test(start_paused = true)]
+async fn record_that_another_writer_gets_wrong_is_written_again() {
+    let (node, store) = (common::node(), Arc::new(Store::default()));
+    store.set_works();
+    declare_at(&node, "v1", 3);
+    start(&node, &store);
+    time::sleep(WRITE_TIME).await;
+
+    store.put(&record_at("v2", 0, 2));
+    time::sleep(WRITE_TIME).await;
+    let other_version = store.record().expect("a record");
+    store.put(&record_at("v1", 0, 2));
+    time::sleep(WRITE_TIME).await;
+    let longer_time = store.record().expect("a record");
+
+    assert_eq!(other_version.version.as_deref(), Some("v1"));
+    assert_ne!(other_version.since_ms, 0);
+    assert_ne!(longer_time.since_ms, 0);
+}
+
+/// A list that is some seconds old shows a record from before the instance's own write: that is no reason to write again.
+#[tokio::test(start_paused = true)]
+async fn record_in_an_older_list_is_not_written_again() {
+    let (node, store) = (common::node(), Arc::new(Store::default()));
+    store.set_works();
+    declare_at(&node, "v1", 1);
+    start(&node, &store);
+    time::sleep(WRITE_TIME).await;
+    store.freeze_stale();
+
+    declare_at(&node, "v2", 2);
+    time::sleep(WRITE_TIME).await;
+
+    assert_eq!(store.revision(), Some(2));
+}
