A check of version records doesn't hold up their writes

Cause: a read that got no response would have kept a change of versions from being written for up to 2 s, and each one that failed was logged as a record that wasn't written.

Change: the read is given up after half a second, and a failed one is left to the next.

--- a/crates/router/src/fleet/version_records.rs
+++ b/crates/router/src/fleet/version_records.rs
@@ -25,6 +25,8 @@
 const INTERVAL: Duration = Duration::from_millis(200);
 /// Time between two reads of the records by an instance that writes them.
 const CHECK_INTERVAL: Duration = Duration::from_secs(2);
+/// Time limit of such a read.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time after the start before an instance writes: by then it knows the others, and so whether it is one of those
 /// that write.
 const WARM_UP: Duration = Duration::from_secs(2);
@@ -172,7 +174,7 @@
     read: HashSet<SmolStr>,
     /// The records that the store has.
     known: HashMap<SmolStr, KnownRecord>,
-    /// When they were last compared with the store.
+    /// When they were last read again.
     checked: Option<Instant>,
 }
 
@@ -194,17 +196,26 @@
             for pool in &pools {
                 self.write_change(node, pool, store).await?;
             }
-            if self.checked.is_none_or(|at| at.elapsed() >= CHECK_INTERVAL) {
-                self.checked = Some(Instant::now());
-                self.check(node, &pools, &store.list_stale().await?);
-            }
+            self.check(node, &pools, store).await;
         }
         Ok(())
     }
 
+    /// Reads the records again from time to time. A call that fails is left to the next time, and isn't waited for long,
+    /// as changes wait to be written meanwhile.
+    async fn check<S: VersionStore>(&mut self, node: &Node, pools: &[Arc<Pool>], store: &S) {
+        if self.checked.is_some_and(|at| at.elapsed() < CHECK_INTERVAL) {
+            return;
+        }
+        self.checked = Some(Instant::now());
+        if let Ok(Ok(list)) = time::timeout(CHECK_TIMEOUT, store.list_stale()).await {
+            self.take_in(node, pools, &list);
+        }
+    }
+
     /// Takes in records that have changed since this instance read or wrote them: an older build replaces any, and a write
     /// of an instance that is gone may be carried out late. What they get wrong is written again.
-    fn check(&mut self, node: &Node, pools: &[Arc<Pool>], list: &RecordList) {
+    fn take_in(&mut self, node: &Node, pools: &[Arc<Pool>], list: &RecordList) {
         for pool in pools {
             let service = pool.name();
             let Some(known) = self.known.get(service) else {
@@ -271,7 +282,7 @@
         Ok(())
     }
 
-    /// Since when a service without a record that says the same has had the version that `own` shows.
+    /// Since when the service has had the version that `own` shows, as far as this instance knows.
     fn since_ms(&self, pool: &Pool, own: &Observation) -> u64 {
         let recorded = self.known.contains_key(pool.name());
         // Nothing was before, unless this instance has itself seen another version.
