Log which way changes of the store take, and how long they need

Change: events store.asked, store.outage and replica.received (only if it took 0.3 s or longer); request.refused names the instance that passed the request on. No logic changes.

--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -49,6 +49,21 @@
         fields: &["kind", "away_ms"],
         meaning: "calls to the store for this kind of object succeed again",
     },
+    EventSpec {
+        name: "store.asked",
+        fields: &["kind", "reason", "age_ms"],
+        meaning: "an instance that learns from its peers asks the store itself for this kind of object: it has none yet (`first`), nobody confirmed its copy for `age_ms` (`unconfirmed`), or a decision needs the present list (`requested`)",
+    },
+    EventSpec {
+        name: "store.outage",
+        fields: &["kind", "source", "ended_ms"],
+        meaning: "the store is taken to have been away, and entries that expired meanwhile are kept until servers had the time to renew them; the source is `own` or `peer`, `ended_ms` the time since it came back",
+    },
+    EventSpec {
+        name: "replica.received",
+        fields: &["kind", "peer", "revision", "bytes", "took_ms"],
+        meaning: "a peer sent changes of the store's objects that took long; `bytes` came over the link, `took_ms` after they were requested",
+    },
     EventSpec {
         name: "versions.read",
         fields: &["service", "version", "age_ms", "outcome"],
@@ -149,8 +164,8 @@
     },
     EventSpec {
         name: "request.refused",
-        fields: &["id", "host", "path", "cause", "config"],
-        meaning: "a request was rejected before its route and organisation were determined",
+        fields: &["id", "host", "path", "cause", "config", "forwarded_by"],
+        meaning: "a request was rejected before its route and organisation were determined; `forwarded_by` is the instance that passed it on",
     },
     EventSpec {
         name: "duty.lease",
--- a/crates/router/src/fleet/replicas.rs
+++ b/crates/router/src/fleet/replicas.rs
@@ -190,6 +190,12 @@
         confirmed.map(|(at, _)| at)
     }
 
+    /// When changes of a kind were last requested from a peer, unless the response has arrived.
+    #[must_use]
+    pub fn requested(&self, kind: &str) -> Option<Instant> {
+        self.lock().get(kind).and_then(|t| t.requested)
+    }
+
     /// When the store last came back after it had failed, as far as this instance knows.
     #[must_use]
     pub fn outage_end(&self, kind: &str) -> Option<Instant> {
--- a/crates/router/src/fleet/replication.rs
+++ b/crates/router/src/fleet/replication.rs
@@ -1,7 +1,11 @@
 //! Exchange of the store's objects with one peer: what is sent to it, and what its frames lead to.
 
 use std::sync::Arc;
+use std::time::Duration;
 
+use log::Level;
+
+use crate::event::Line;
 use crate::fleet::frame::{self, Frame, LinkError};
 use crate::fleet::replicas::{ObjectsPart, ObjectsRequest, ObjectsResponse, ReplicaStatus};
 use crate::fleet::transit_delay::TransitDelay;
@@ -12,6 +16,9 @@
 /// Maximum size of a response, in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
 
+/// Time from a request to its response from which that is logged.
+const SLOW: Duration = Duration::from_millis(300);
+
 /// The exchange with one peer.
 #[derive(Debug, Default)]
 pub struct Replication {
@@ -55,9 +62,12 @@
         if !part.last {
             return Ok(());
         }
-        let response: ObjectsResponse = frame::decode(&std::mem::take(&mut self.parts))?;
+        let parts = std::mem::take(&mut self.parts);
+        let bytes = parts.len();
+        let response: ObjectsResponse = frame::decode(&parts)?;
         let delay = self.delay.excess(part.sent_ms, node.replicas.clock_ms());
         node.metrics.count("replica.received");
+        log_slow(node, peer, &response, bytes);
         if node.replicas.receive_response(response, delay) {
             announce(node, Some(peer));
         }
@@ -65,6 +75,22 @@
     }
 }
 
+/// Logs a response that took long.
+fn log_slow(node: &Node, peer: &str, response: &ObjectsResponse, bytes: usize) {
+    let status = &response.status;
+    let requested = node.replicas.requested(&status.kind);
+    let Some(took) = requested.map(|at| at.elapsed()).filter(|t| *t >= SLOW) else {
+        return;
+    };
+    Line::new("replica.received")
+        .field("kind", &status.kind)
+        .field("peer", peer)
+        .field("revision", status.position.revision)
+        .field("bytes", bytes)
+        .field("took_ms", took.as_millis())
+        .write(Level::Info);
+}
+
 /// The frame that tells a peer the state of this instance's copies; `None` if there are none.
 #[must_use]
 pub fn status_frame(node: &Node) -> Option<Frame> {
