Instances send each other large changes compressed (CONFIG, DRAIN)

Callers saw: 404 and the old service up to 9 s after a configuration had been confirmed, at instances that nothing ailed; servers that left were known 2.6 s late at some.

Cause: each of an instance's six or seven peers got the whole object as text. One of 1 MiB fills a link of 10 Mbit/s for 0.8 s, six of them for 5 s, and it takes two to four such links to reach all. Meanwhile requests were repeated to other peers and to the store, over the same links, and news of servers waited behind. Class: a time that grows with the size of a change times the number of peers, and that nothing bounds.

Change: a difference of 4 KiB or more is compressed (zstd), once for all peers that request the same one. Version 6 of the peer protocol; older builds get text. What is unpacked is bounded.

--- a/crates/router/src/fleet/frame.rs
+++ b/crates/router/src/fleet/frame.rs
@@ -21,11 +21,13 @@
 use crate::load::pools::{BrittlePool, PoolCrashes, PoolDemand, PoolLimits};
 
 /// Newest version of the peer protocol that this build supports.
-pub const PROTOCOL: u16 = 5;
+pub const PROTOCOL: u16 = 6;
 /// Oldest version of the peer protocol that this build supports.
 pub const PROTOCOL_MIN: u16 = 1;
 /// First version of the peer protocol by which instances exchange the store's objects.
 pub const REPLICAS_SINCE: u16 = 4;
+/// First version of the peer protocol in which changes of the store's objects may be compressed.
+pub const PACKED_SINCE: u16 = 6;
 /// Maximum size of a sealed frame, in bytes.
 pub const MAX_FRAME_BYTES: usize = 1 << 20;
 /// Size of sequence number and tag before the CBOR body, in bytes.
--- a/crates/router/src/fleet/link.rs
+++ b/crates/router/src/fleet/link.rs
@@ -491,7 +491,8 @@
                 self.send_all(requests).await?;
             }
             Frame::RequestObjects(request) => {
-                self.send_all(replication::respond(&node, &request)).await?;
+                let frames = replication::respond(&node, &request, self.protocol);
+                self.send_all(frames).await?;
             }
             Frame::PollDuty(poll) => polling::receive(&node, &poll, Some(&self.peer.id)),
             Frame::DutyCounts(counts) => polling::pass_on(&node, counts),
--- a/crates/router/src/fleet/mod.rs
+++ b/crates/router/src/fleet/mod.rs
@@ -14,6 +14,7 @@
 pub mod membership;
 pub mod object_history;
 pub mod origin;
+pub mod packing;
 pub mod quarantine_store;
 pub mod record_sync;
 pub mod replica;
--- /dev/null
+++ b/crates/router/src/fleet/packing.rs
@@ -0,0 +1,34 @@
+//! Compression of what instances send each other of the store's objects.
+
+use std::io::Read;
+
+use crate::fleet::frame::LinkError;
+
+/// Compression level: the quickest, as small instances have little processor time.
+const LEVEL: i32 = 1;
+
+/// Compresses `bytes`.
+#[must_use]
+pub fn pack(bytes: &[u8]) -> Vec<u8> {
+    // Only a full disk or a reader that fails can make it fail, and there is neither.
+    zstd::bulk::compress(bytes, LEVEL).unwrap_or_default()
+}
+
+/// Reverses [`pack`].
+///
+/// # Errors
+/// `Oversized` if the result is longer than `limit` bytes, `Malformed` if `packed` wasn't made by [`pack`].
+pub fn unpack(packed: &[u8], limit: usize) -> Result<Vec<u8>, LinkError> {
+    let malformed = |_| LinkError::Malformed;
+    let decoder = zstd::stream::read::Decoder::new(packed).map_err(malformed)?;
+    let mut bytes = Vec::new();
+    let beyond = u64::try_from(limit).unwrap_or(u64::MAX).saturating_add(1);
+    decoder
+        .take(beyond)
+        .read_to_end(&mut bytes)
+        .map_err(malformed)?;
+    if bytes.len() > limit {
+        return Err(LinkError::Oversized);
+    }
+    Ok(bytes)
+}
--- a/crates/router/src/fleet/replicas.rs
+++ b/crates/router/src/fleet/replicas.rs
@@ -4,7 +4,7 @@
 //! behind requests the difference from a peer.
 
 use std::collections::{BTreeMap, HashMap};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -12,6 +12,8 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use crate::fleet::frame;
+use crate::fleet::packing;
 use crate::fleet::replica::{Difference, Kind, Position, Replica};
 use crate::random;
 
@@ -24,6 +26,8 @@
 /// Maximum ages up to which a copy isn't replaced as a whole by a peer's: until then an instance that reaches the store
 /// has asked it for the changes alone.
 const COMPLETE_AGES: u32 = 2;
+/// Size of an encoded difference from which it is compressed, in bytes.
+const MIN_PACKED_BYTES: usize = 4 << 10;
 /// Divisor of the maximum age that gives the time after which an unanswered request is sent to another peer.
 const REQUEST_DIVISOR: u32 = 2;
 
@@ -86,7 +90,18 @@
     pub difference: Difference,
 }
 
-/// One part of an encoded [`ObjectsResponse`].
+/// An [`ObjectsResponse`] whose difference is compressed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PackedResponse {
+    /// The sender's copy, as of the difference.
+    #[serde(rename = "s")]
+    pub status: ReplicaStatus,
+    /// The encoded changes, compressed.
+    #[serde(rename = "z", with = "serde_bytes")]
+    pub difference: Vec<u8>,
+}
+
+/// One part of an encoded [`ObjectsResponse`] or [`PackedResponse`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ObjectsPart {
     /// When the response was made, by the sender's clock, in ms.
@@ -95,6 +110,9 @@
     /// Whether no other part follows.
     #[serde(rename = "l")]
     pub last: bool,
+    /// Whether it is part of a [`PackedResponse`].
+    #[serde(rename = "z", default, skip_serializing_if = "std::ops::Not::not")]
+    pub packed: bool,
     /// The bytes of this part.
     #[serde(rename = "b", with = "serde_bytes")]
     pub bytes: Vec<u8>,
@@ -109,9 +127,35 @@
     pub announce: bool,
 }
 
+/// A difference as it was last compressed; most peers that are behind request the same one.
+#[derive(Debug)]
+struct PackedDifference {
+    from: Option<Position>,
+    to: Position,
+    /// `None` if it is too small to be worth it.
+    bytes: Option<Arc<[u8]>>,
+}
+
+impl PackedDifference {
+    fn new(difference: &Difference) -> Self {
+        let bytes = frame::encode(difference);
+        let packed = (bytes.len() >= MIN_PACKED_BYTES).then(|| packing::pack(&bytes).into());
+        Self {
+            from: difference.from,
+            to: difference.to,
+            bytes: packed,
+        }
+    }
+
+    fn is_of(&self, difference: &Difference) -> bool {
+        (self.from, self.to) == (difference.from, difference.to)
+    }
+}
+
 #[derive(Debug)]
 struct Topic {
     replica: Replica,
+    packed: Option<PackedDifference>,
     /// Age of a confirmation at which the copy counts as out of date.
     max_age: Duration,
     /// The latest confirmation, and when it was.
@@ -153,6 +197,7 @@
         let (changed, receiver) = watch::channel(());
         let topic = Topic {
             replica: Replica::default(),
+            packed: None,
             max_age,
             confirmed: None,
             numbers: HashMap::new(),
@@ -279,6 +324,17 @@
         })
     }
 
+    /// The difference of a response, encoded and compressed; `None` if it is too small to be worth it.
+    #[must_use]
+    pub fn pack(&self, response: &ObjectsResponse) -> Option<Arc<[u8]>> {
+        let mut topics = self.lock();
+        let topic = topics.get_mut(&response.status.kind)?;
+        let difference = &response.difference;
+        let known = topic.packed.take().filter(|p| p.is_of(difference));
+        let packed = known.unwrap_or_else(|| PackedDifference::new(difference));
+        topic.packed.insert(packed).bytes.clone()
+    }
+
     /// Takes a peer's response into account, which took `delay` longer than usual to arrive. Returns whether
     /// the other peers are to be told at once.
     #[must_use]
--- a/crates/router/src/fleet/replication.rs
+++ b/crates/router/src/fleet/replication.rs
@@ -6,8 +6,11 @@
 use log::Level;
 
 use crate::event::Line;
-use crate::fleet::frame::{self, Frame, LinkError};
-use crate::fleet::replicas::{ObjectsPart, ObjectsRequest, ObjectsResponse, ReplicaStatus};
+use crate::fleet::frame::{self, Frame, LinkError, PACKED_SINCE};
+use crate::fleet::packing;
+use crate::fleet::replicas::{
+    ObjectsPart, ObjectsRequest, ObjectsResponse, PackedResponse, ReplicaStatus, Replicas,
+};
 use crate::fleet::transit_delay::TransitDelay;
 use crate::node::Node;
 
@@ -62,12 +65,14 @@
         if !part.last {
             return Ok(());
         }
-        let parts = std::mem::take(&mut self.parts);
-        let bytes = parts.len();
-        let response: ObjectsResponse = frame::decode(&parts)?;
+        let encoded = EncodedResponse {
+            bytes: std::mem::take(&mut self.parts),
+            packed: part.packed,
+        };
+        let response = encoded.decode()?;
         let delay = self.delay.excess(part.sent_ms, node.replicas.clock_ms());
         node.metrics.count("replica.received");
-        log_slow(node, peer, &response, bytes);
+        log_slow(node, peer, &response, encoded.bytes.len());
         if node.replicas.receive_response(response, delay) {
             announce(node, Some(peer));
         }
@@ -108,26 +113,67 @@
     }
 }
 
-/// The bytes of a response as they are sent to a peer, in parts.
-#[must_use]
-pub fn encode(response: &ObjectsResponse) -> Vec<u8> {
-    frame::encode(response)
+/// A response as it is sent to a peer, in parts.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EncodedResponse {
+    /// The encoded [`ObjectsResponse`] or [`PackedResponse`].
+    pub bytes: Vec<u8>,
+    /// Whether it is a [`PackedResponse`].
+    pub packed: bool,
+}
+
+impl EncodedResponse {
+    /// Encodes a response of `replicas` for a peer with this version of the peer protocol.
+    #[must_use]
+    pub fn new(replicas: &Replicas, response: &ObjectsResponse, protocol: u16) -> Self {
+        let packed = (protocol >= PACKED_SINCE).then(|| replicas.pack(response));
+        match packed.flatten() {
+            Some(difference) => Self {
+                bytes: frame::encode(&PackedResponse {
+                    status: response.status.clone(),
+                    difference: difference.to_vec(),
+                }),
+                packed: true,
+            },
+            None => Self {
+                bytes: frame::encode(response),
+                packed: false,
+            },
+        }
+    }
+
+    /// Decodes the response.
+    ///
+    /// # Errors
+    /// `Malformed` if it can't be decoded, `Oversized` if it is too long.
+    pub fn decode(&self) -> Result<ObjectsResponse, LinkError> {
+        if !self.packed {
+            return frame::decode(&self.bytes);
+        }
+        let packed: PackedResponse = frame::decode(&self.bytes)?;
+        let difference = packing::unpack(&packed.difference, MAX_RESPONSE_BYTES)?;
+        Ok(ObjectsResponse {
+            status: packed.status,
+            difference: frame::decode(&difference)?,
+        })
+    }
 }
 
-/// The frames that respond to a peer's request.
+/// The frames that respond to a request of a peer with this version of the peer protocol.
 #[must_use]
-pub fn respond(node: &Node, request: &ObjectsRequest) -> Vec<Frame> {
+pub fn respond(node: &Node, request: &ObjectsRequest, protocol: u16) -> Vec<Frame> {
     let Some(response) = node.replicas.respond(request) else {
         return Vec::new();
     };
     node.metrics.count("replica.sent");
-    let bytes = encode(&response);
-    let parts = bytes.chunks(PART_BYTES);
+    let encoded = EncodedResponse::new(&node.replicas, &response, protocol);
+    let parts = encoded.bytes.chunks(PART_BYTES);
     let count = parts.len();
     let parts = parts.enumerate().map(|(number, bytes)| {
         Frame::Objects(ObjectsPart {
             sent_ms: node.replicas.clock_ms(),
             last: number + 1 == count,
+            packed: encoded.packed,
             bytes: bytes.to_vec(),
         })
     });
--- a/crates/router/tests/frames.rs
+++ b/crates/router/tests/frames.rs
@@ -117,6 +117,7 @@
         Frame::Objects(ObjectsPart {
             sent_ms: 18,
             last: true,
+            packed: false,
             bytes: vec![7; 65_536],
         }),
     ]
--- a/crates/router/tests/replicas.rs
+++ b/crates/router/tests/replicas.rs
@@ -7,7 +7,9 @@
 
 use jackdawtally::fleet::replica::{Difference, Era, ObjectChange, Position, Replica, Revision};
 use jackdawtally::fleet::replicas::{ObjectsRequest, ReplicaStatus, Replicas};
+use jackdawtally::fleet::replication::EncodedResponse;
 use jackdawtally::fleet::transit_delay::TransitDelay;
+use jackdawtally::frame::{LinkError, PACKED_SINCE};
 use tokio::time::{self, Instant};
 
 /// Age up to which a copy is trusted.
@@ -506,3 +508,53 @@
     assert!((2_900..=3_000).contains(&excess[2]), "{excess:?}");
     assert!(excess[3] < 20, "{excess:?}");
 }
+
+/// The response of an instance with an object of this content, as a peer with this version of the protocol gets it.
+fn encoded(content: &str, protocol: u16) -> EncodedResponse {
+    let replicas = follower();
+    let change = ObjectChange {
+        content: Some(content.into()),
+        ..put("main", 11)
+    };
+    replicas.merge_store(KIND, difference(None, 11, vec![change]), Instant::now());
+    let request = ObjectsRequest {
+        kind: KIND.into(),
+        from: None,
+    };
+    let response = replicas.respond(&request).expect("there is a copy");
+    EncodedResponse::new(&replicas, &response, protocol)
+}
+
+#[tokio::test(start_paused = true)]
+async fn large_difference_is_compressed_and_decoded_unchanged() {
+    let content = "route and service ".repeat(10_000);
+
+    let encoded = encoded(&content, PACKED_SINCE);
+
+    assert!(encoded.packed && encoded.bytes.len() < content.len() / 10);
+    let response = encoded.decode().expect("it is valid");
+    let decoded = response.difference.changes[0].content.as_deref();
+    assert_eq!(decoded, Some(content.as_str()));
+}
+
+/// A build that doesn't know the compressed form closes the link.
+#[tokio::test(start_paused = true)]
+async fn older_builds_get_large_differences_as_they_know_them() {
+    let content = "route and service ".repeat(10_000);
+
+    let encoded = encoded(&content, PACKED_SINCE - 1);
+
+    assert!(!encoded.packed && encoded.decode().is_ok());
+}
+
+/// A few bytes could stand for more than there is memory.
+#[tokio::test(start_paused = true)]
+async fn compressed_difference_of_any_length_is_not_unpacked() {
+    let mut encoded = encoded(&" ".repeat(20 << 20), PACKED_SINCE);
+    assert!(encoded.bytes.len() < 100 << 10);
+
+    assert_eq!(encoded.decode(), Err(LinkError::Oversized));
+
+    encoded.bytes.truncate(encoded.bytes.len() / 2);
+    assert_eq!(encoded.decode(), Err(LinkError::Malformed));
+}
--- a/crates/router/tests/store_fleet.rs
+++ b/crates/router/tests/store_fleet.rs
@@ -13,7 +13,7 @@
 use jackdawtally::fleet::replicas::{
     ObjectsRequest, ObjectsResponse, Reaction, ReplicaStatus, Replicas,
 };
-use jackdawtally::fleet::replication;
+use jackdawtally::fleet::replication::EncodedResponse;
 use jackdawtally::frame::{PROTOCOL, REPLICAS_SINCE};
 use jackdawtally::membership::{InstanceId, InstanceRecord, Membership};
 use jackdawtally::rendezvous;
@@ -51,16 +51,6 @@
     Response(ObjectsResponse),
 }
 
-impl Message {
-    /// Size on the link, in bytes.
-    fn size(&self) -> usize {
-        match self {
-            Self::Statuses(_) | Self::Request(_) => SMALL_MESSAGE,
-            Self::Response(response) => replication::encode(response).len(),
-        }
-    }
-}
-
 struct Envelope {
     from: usize,
     to: usize,
@@ -70,13 +60,12 @@
 }
 
 impl Envelope {
-    fn new(from: usize, to: usize, message: Message) -> Self {
-        let left = message.size();
+    fn small(from: usize, to: usize, message: Message) -> Self {
         Self {
             from,
             to,
             message,
-            left,
+            left: SMALL_MESSAGE,
         }
     }
 }
@@ -231,7 +220,7 @@
         let statuses = instance.replicas.statuses();
         let peers = instance.peers.iter().filter(|to| Some(**to) != except);
         let messages =
-            peers.map(|to| Envelope::new(from, *to, Message::Statuses(statuses.clone())));
+            peers.map(|to| Envelope::small(from, *to, Message::Statuses(statuses.clone())));
         self.sent.extend(messages);
     }
 
@@ -293,9 +282,17 @@
             Message::Statuses(statuses) => instance.replicas.receive_statuses(&statuses, delay),
             Message::Request(request) => {
                 let response = instance.replicas.respond(&request);
-                let response = response.map(Message::Response);
-                self.sent
-                    .extend(response.map(|r| Envelope::new(to, from, r)));
+                let replicas = &instance.replicas;
+                self.sent.extend(response.map(|response| {
+                    Envelope {
+                        from: to,
+                        to: from,
+                        left: EncodedResponse::new(replicas, &response, PROTOCOL)
+                            .bytes
+                            .len(),
+                        message: Message::Response(response),
+                    }
+                }));
                 return;
             }
             Message::Response(response) => {
@@ -308,7 +305,7 @@
         };
         let requests = reaction.requests.into_iter().map(Message::Request);
         self.sent
-            .extend(requests.map(|r| Envelope::new(to, from, r)));
+            .extend(requests.map(|r| Envelope::small(to, from, r)));
         if reaction.announce {
             self.announce(to, Some(from));
         }
@@ -414,7 +411,6 @@
 /// Each peer got the whole configuration as text, six or seven times over each instance's link, so that the last
 /// instances had it seconds late (CONFIG), and news of leaving servers waited behind it (DRAIN).
 #[tokio::test(start_paused = true)]
-#[ignore = "KNOWN-RED 31"]
 async fn large_configuration_reaches_all_in_time_over_narrow_links() {
     let content = large_config(LARGE_OBJECT);
     for size in NARROW_SIZES {
