An instance handles no request by an older configuration than it was taken under (CONFIG)

Callers saw: the answer of a service that their route had left, or 401 and 404 for a key or route that was there, from an instance whose configuration was up to date.

Class: a decision made again elsewhere on older knowledge.

Change: a request that is passed on names the version under which it was taken. Such a refusal isn't charged to the retry budget again. docs/decisions/0016.

The route names of a test's configuration are our own words now (test names).

--- a/crates/router/src/error.rs
+++ b/crates/router/src/error.rs
@@ -113,6 +113,8 @@
     Draining => ("draining", 503, "overloaded_error", No);
     /// The request needs the platform's object service, which is unavailable.
     PlatformUnavailable => ("platform_unavailable", 503, "server_error", No);
+    /// Another instance took the request under a newer configuration than this one has.
+    ConfigOutdated => ("config_outdated", 503, "server_error", No);
     /// No backend server of the pool is reachable.
     NoBackendServer => ("no_backend_server", 503, "server_error", No);
     /// The backend server rejected the request as invalid.
--- a/crates/router/src/forward/access_log.rs
+++ b/crates/router/src/forward/access_log.rs
@@ -11,7 +11,6 @@
 use tokio::time::Instant;
 
 use super::attempt::Failure;
-use super::config_snapshot::ConfigVersion;
 use super::request::Request;
 use crate::config;
 use crate::error::Fault;
@@ -64,7 +63,6 @@
 pub struct AccessLog<'a> {
     request: &'a Request,
     metrics: Arc<Metrics>,
-    config: ConfigVersion,
     /// Total time spent waiting for a backend server.
     waited: Duration,
     attempts: Vec<Attempt>,
@@ -80,12 +78,11 @@
 }
 
 impl<'a> AccessLog<'a> {
-    /// Creates the entry of a request that was admitted under the configuration version `config`.
-    pub const fn new(request: &'a Request, config: ConfigVersion, metrics: Arc<Metrics>) -> Self {
+    /// Creates the entry of a request.
+    pub const fn new(request: &'a Request, metrics: Arc<Metrics>) -> Self {
         Self {
             request,
             metrics,
-            config,
             waited: Duration::ZERO,
             attempts: Vec::new(),
             version: None,
@@ -243,7 +240,7 @@
             .field("tier", request.level)
             .field("route_tier", request.route.level)
             .optional_field("priority", self.priorities())
-            .field("config", self.config)
+            .field("config", request.config)
             .field("outcome", self.outcome.as_str())
             .optional_field("cause", cause)
             .optional_field("status", status)
--- a/crates/router/src/forward/backend_protocol.rs
+++ b/crates/router/src/forward/backend_protocol.rs
@@ -76,6 +76,10 @@
     /// instance that is to be passed on, `NotRun` if it refuses the request.
     fn classify_forwarded(&self, request: &Request, head: &response::Parts) -> ResponseClass;
 
+    /// Returns whether the header fields of another instance's refusal say that its configuration is older than the one
+    /// under which the request was taken.
+    fn is_outdated(&self, headers: &HeaderMap) -> bool;
+
     /// Returns the load report in the header fields of a response; `None` if there is none.
     fn load_report(&self, headers: &HeaderMap) -> Option<LoadReport>;
 
--- a/crates/router/src/forward/config_snapshot.rs
+++ b/crates/router/src/forward/config_snapshot.rs
@@ -2,9 +2,11 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
+use std::time::Duration;
 
 use smol_str::SmolStr;
 use tokio::sync::watch;
+use tokio::time;
 
 use super::route::RouteTable;
 use super::tier_order::TierOrder;
@@ -63,6 +65,15 @@
         self.sender.borrow().clone()
     }
 
+    /// Waits for a configuration of this version or a newer one, at most for `timeout`, and returns the current one.
+    pub async fn wait_for(&self, version: ConfigVersion, timeout: Duration) -> Arc<ConfigSnapshot> {
+        let mut current = self.sender.subscribe();
+        let newer = current.wait_for(|current| current.version >= version);
+        // The sender lives as long as `self`.
+        let _ = time::timeout(timeout, newer).await;
+        self.get()
+    }
+
     /// Replaces the current configuration if `snapshot` has a newer version. Returns whether it did.
     #[must_use]
     pub fn update_if_newer(&self, snapshot: ConfigSnapshot) -> bool {
--- a/crates/router/src/forward/forwarder.rs
+++ b/crates/router/src/forward/forwarder.rs
@@ -130,6 +130,8 @@
     binding: Binding,
     /// The instances that the request was passed on to.
     tried_peers: Vec<InstanceId>,
+    /// Those of them whose configuration is older than the one under which the request was taken.
+    outdated_peers: Vec<InstanceId>,
     /// A server error that is sent to the caller if no retry gets a better response.
     fallback: Option<BufferedResponse>,
     /// Whether a server is known to have begun the request.
@@ -161,6 +163,7 @@
             may_have_run: false,
             attempts: request.forwarded_by.as_ref().map_or(0, |f| f.attempts),
             tried_peers: Vec::new(),
+            outdated_peers: Vec::new(),
             fallback: None,
             begun: false,
             log,
@@ -355,8 +358,8 @@
         if unsent && self.attempts == 0 {
             return true;
         }
-        if failure == Failure::Stalled {
-            // The budget was already charged when the attempt was abandoned.
+        if matches!(failure, Failure::Stalled | Failure::Refused) {
+            // The budget was already charged, when the attempt was abandoned or before it went to the other instance.
             return true;
         }
         let retryable = !self.may_have_run || self.request.route.kind.is_retryable();
--- a/crates/router/src/forward/forwarder/peers.rs
+++ b/crates/router/src/forward/forwarder/peers.rs
@@ -18,7 +18,7 @@
             return None;
         }
         if let Some(suspect) = self.pool.suspected_request(&self.admission.identity) {
-            let instance = peer::trial_instance(node, suspect);
+            let instance = peer::trial_instance(node, suspect, &self.outdated_peers);
             let own = node.membership.own().id;
             return instance.filter(|r| r.id != own && !self.tried_peers.contains(&r.id));
         }
@@ -36,7 +36,8 @@
     pub(super) fn may_try(&self) -> bool {
         let node = &self.context.node;
         let suspect = self.pool.suspected_request(&self.admission.identity);
-        let instance = suspect.and_then(|id| peer::trial_instance(node, id));
+        let outdated = &self.outdated_peers;
+        let instance = suspect.and_then(|id| peer::trial_instance(node, id, outdated));
         let own = node.membership.own().id;
         self.request.forwarded_by.is_some() || instance.is_some_and(|r| r.id == own)
     }
@@ -89,6 +90,7 @@
         let forwarded_by = ForwardedBy {
             instance: context.node.settings.instance.clone(),
             attempts: self.attempts,
+            config: Some(self.request.config),
         };
         let ran_before = std::mem::replace(&mut self.may_have_run, true);
         let response = peer::send(
@@ -111,8 +113,13 @@
                     self.may_have_run = ran_before;
                 }
                 context.node.metrics.count("peer.failed");
+                if error.refusal.is_some_and(|refusal| refusal.outdated) {
+                    context.node.metrics.count("peer.outdated");
+                    self.outdated_peers.push(peer.id.clone());
+                }
+                let goes_on = || self.next_peer().is_some() || self.may_try();
                 match error.refusal {
-                    Some(refusal) if !refusal.elsewhere || self.next_peer().is_none() => {
+                    Some(refusal) if !refusal.elsewhere || !goes_on() => {
                         Err(ForwardError::Fault(refusal.fault()))
                     }
                     _ => Ok(AttemptResult::Failed(error.failure)),
--- a/crates/router/src/forward/peer.rs
+++ b/crates/router/src/forward/peer.rs
@@ -2,7 +2,8 @@
 //! slots, or isn't the one that tries a request under which servers crashed.
 //!
 //! A peer gets the request on its address for callers, as the caller sent it, and treats it as its own: it
-//! authenticates, queues, limits and retries it. It never passes it on again.
+//! authenticates, queues, limits and retries it. It never passes it on again. One whose configuration is older than the one
+//! under which the request was taken refuses it.
 
 use std::time::Duration;
 
@@ -40,6 +41,8 @@
 pub struct Refusal {
     /// Whether another instance may take it, as the reason lies in this peer.
     pub elsewhere: bool,
+    /// Whether the reason is that this peer's configuration is older than the one under which the request was taken.
+    pub outdated: bool,
     /// When the caller may retry.
     pub retry_after: Duration,
 }
@@ -83,9 +86,13 @@
 }
 
 /// The only instance that tries a request under which servers crashed: the first in rendezvous order of those that reach
-/// backend servers. `None` if there is none.
+/// backend servers and whose configuration isn't known to be too old. `None` if there is none.
 #[must_use]
-pub fn trial_instance(node: &Node, suspect: SuspectId) -> Option<InstanceRecord> {
+pub fn trial_instance(
+    node: &Node,
+    suspect: SuspectId,
+    outdated: &[InstanceId],
+) -> Option<InstanceRecord> {
     let own = node.membership.own().id;
     let reaches_servers = |r: &InstanceRecord| {
         let isolated = if r.id == own {
@@ -93,7 +100,7 @@
         } else {
             node.isolated.contains(r)
         };
-        !isolated
+        !isolated && !outdated.contains(&r.id)
     };
     let alive = node.membership.alive().into_iter();
     alive
@@ -152,6 +159,7 @@
             failure: Failure::Refused,
             refusal: Some(Refusal {
                 elsewhere: response.head.status == StatusCode::SERVICE_UNAVAILABLE,
+                outdated: protocol.is_outdated(&response.head.headers),
                 retry_after: match retry_after::parse(&response.head.headers) {
                     RestStatement::Rest(delay) => delay,
                     RestStatement::Unstated | RestStatement::Unreadable => DEFAULT_RETRY_AFTER,
--- a/crates/router/src/forward/request.rs
+++ b/crates/router/src/forward/request.rs
@@ -7,6 +7,7 @@
 use smol_str::SmolStr;
 use tokio::time::Instant;
 
+use super::config_snapshot::ConfigVersion;
 use super::route::Route;
 use crate::config::object::Level;
 use crate::load::quarantine::{RequestIdentity, SuspectId};
@@ -40,6 +41,8 @@
     pub instance: SmolStr,
     /// Attempts that may have reached a backend server.
     pub attempts: u32,
+    /// Version of the configuration under which it took the request; `None` if it doesn't say, as an older build.
+    pub config: Option<ConfigVersion>,
 }
 
 /// A request that was received, authenticated and matched to a route.
@@ -47,6 +50,8 @@
 pub struct Request {
     /// The id that the caller gave to this attempt.
     pub id: SmolStr,
+    /// Version of the configuration by which this instance authenticated it and matched it to its route.
+    pub config: ConfigVersion,
     /// The matched route.
     pub route: Arc<Route>,
     /// The caller's organisation; `None` if the route needs no key.
--- a/crates/router/tests/store_fleet.rs
+++ b/crates/router/tests/store_fleet.rs
@@ -114,10 +114,10 @@
         let name = rendezvous::hash(&number.to_le_bytes());
         let _ = write!(
             text,
-            "{{\"name\":\"r-{:07x}\",\"hostname\":\"host{}.example\",\"path-prefix\":\"/path{:x}/\",\
-             \"kind\":\"streaming\",\"timeout-ms\":10000,\"target-latency-ms\":1500,\"priority\":2,\
-             \"service\":\"service-a\",\"max-attempts\":1,\"public\":false,\"sticky\":true,\
-             \"resumable\":false,\"target-gap-ms\":1000}},",
+            "{{\"name\":\"r-{:07x}\",\"host\":\"host{}.example\",\"base-path\":\"/path{:x}/\",\
+             \"kind\":\"streaming\",\"limit-ms\":10000,\"latency-target-ms\":1500,\"priority\":2,\
+             \"service\":\"service-a\",\"attempts\":1,\"public\":false,\"sticky\":true,\
+             \"resumable\":false,\"gap-target-ms\":1000}},",
             name % (1 << 28),
             name % 97,
             name >> 48,
