One instance's trouble with the store is no outage of the store (DRAIN)

Callers saw: requests at servers that had left, from instances that the store turned away, and from others after such instances had reached it again.

Cause: a failed call alone made an instance take removed entries for expired ones, which it keeps until they can be renewed, and sends to if more than half of a service's are among them. When it reached the store again it told all others of an outage, and each such report kept such entries at all for 2.3 s more. Its peers had the store's confirmation all the while. Class: what one saw taken for what is.

Change: an outage is told with its beginning. The small fleets, in which each watches for itself, stay as they were.

--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -56,8 +56,8 @@
     },
     EventSpec {
         name: "store.outage",
-        fields: &["kind", "source", "ended_ms"],
-        meaning: "the store is taken to have been away, and entries that expired meanwhile are kept until servers had the time to renew them; the source is `own` or `peer`, `ended_ms` the time since it came back",
+        fields: &["kind", "ended_ms"],
+        meaning: "the store is taken to have been away, as seen by this instance or by peers, and entries that expired meanwhile are kept until servers had the time to renew them; `ended_ms` is the time since it came back",
     },
     EventSpec {
         name: "replica.received",
--- a/crates/router/src/fleet/replicas.rs
+++ b/crates/router/src/fleet/replicas.rs
@@ -3,7 +3,7 @@
 //! Instances tell each other the revision of each copy and how long ago the store confirmed it. One that is
 //! behind requests the difference from a peer.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -19,6 +19,11 @@
 
 /// Maximum number of sources whose last confirmation is remembered.
 const MAX_SOURCES: usize = 4_096;
+/// Number of confirmations whose times are remembered, and the least time between two of them.
+const MAX_RECENT: usize = 32;
+const RECENT_INTERVAL: Duration = Duration::from_millis(100);
+/// How far the time of a confirmation that peers passed on may be off.
+const CONFIRMATION_ERROR: Duration = Duration::from_millis(300);
 /// Time between the ends of two outages, as told by peers, below which they are one.
 const SAME_OUTAGE: Duration = Duration::from_secs(1);
 /// Divisor of the maximum age that gives how much fresher a confirmation must be to be passed on at once.
@@ -66,6 +71,9 @@
     /// Time since the store came back after it had failed, in ms; `None` if it never failed.
     #[serde(rename = "o", default, skip_serializing_if = "Option::is_none")]
     pub outage_ms: Option<u32>,
+    /// How long the store had failed before it came back, in ms; older builds don't say.
+    #[serde(rename = "d", default, skip_serializing_if = "Option::is_none")]
+    pub outage_for_ms: Option<u32>,
 }
 
 /// Requests the changes of a kind from a peer.
@@ -152,6 +160,21 @@
     }
 }
 
+/// A time in which the store couldn't be reached.
+#[derive(Clone, Copy, Debug)]
+struct Outage {
+    /// `None` if the instance that told of it didn't say.
+    start: Option<Instant>,
+    end: Instant,
+}
+
+impl Outage {
+    fn length_ms(self) -> Option<u32> {
+        let length = self.end.saturating_duration_since(self.start?);
+        Some(u32::try_from(length.as_millis()).unwrap_or(u32::MAX))
+    }
+}
+
 #[derive(Debug)]
 struct Topic {
     replica: Replica,
@@ -162,9 +185,11 @@
     confirmed: Option<(Instant, ConfirmationId)>,
     /// The last confirmation of each source that was taken into account.
     numbers: HashMap<u64, u64>,
+    /// Times of the latest confirmations, in the order in which they became known.
+    recent: VecDeque<Instant>,
     /// The confirmation that was last passed on.
     announced: Option<Instant>,
-    outage_end: Option<Instant>,
+    outage: Option<Outage>,
     /// When the difference was last requested, unless it has arrived.
     requested: Option<Instant>,
     changed: watch::Sender<()>,
@@ -201,8 +226,9 @@
             max_age,
             confirmed: None,
             numbers: HashMap::new(),
+            recent: VecDeque::new(),
             announced: None,
-            outage_end: None,
+            outage: None,
             requested: None,
             changed,
         };
@@ -244,7 +270,17 @@
     /// When the store last came back after it had failed, as far as this instance knows.
     #[must_use]
     pub fn outage_end(&self, kind: &str) -> Option<Instant> {
-        self.lock().get(kind).and_then(|t| t.outage_end)
+        let topics = self.lock();
+        topics.get(kind)?.outage.map(|outage| outage.end)
+    }
+
+    /// Whether the store has confirmed a copy to another instance after this one lost the store at the time `lost`, and
+    /// not long ago.
+    #[must_use]
+    pub fn is_served(&self, kind: &str, lost: Instant) -> bool {
+        let topics = self.lock();
+        let topic = topics.get(kind);
+        topic.is_some_and(|t| t.is_fresh() && t.is_confirmed_in(lost, Instant::now()))
     }
 
     /// What leads from a position to that of the copy.
@@ -273,11 +309,13 @@
         topic.take_announcement()
     }
 
-    /// Records that the store came back at the time `at`.
-    pub fn record_outage_end(&self, kind: &str, at: Instant) {
-        if let Some(topic) = self.lock().get_mut(kind) {
-            topic.record_outage_end(at);
-        }
+    /// Records that the store, which failed at the time `start`, came back at the time `end`. Returns `false` if it
+    /// served others meanwhile.
+    pub fn record_outage(&self, kind: &str, start: Instant, end: Instant) -> bool {
+        let start = Some(start);
+        let mut topics = self.lock();
+        let topic = topics.get_mut(kind);
+        topic.is_some_and(|t| t.record_outage(Outage { start, end }))
     }
 
     /// The state of all copies that aren't empty.
@@ -375,23 +413,59 @@
             return;
         }
         self.numbers.insert(id.source, id.number);
+        self.remember(at);
         if self.confirmed.is_none_or(|(known, _)| at > known) {
             self.confirmed = Some((at, id));
         }
     }
 
-    /// Takes into account that an outage ended at the time `at`. One that ended shortly after the known one is the same.
-    fn record_outage_end(&mut self, at: Instant) {
-        let known = self.outage_end;
-        if known.is_none_or(|known| at > known + SAME_OUTAGE) {
-            self.outage_end = Some(at);
+    /// Remembers the time of a confirmation.
+    fn remember(&mut self, at: Instant) {
+        let last = self.recent.back();
+        if last.is_some_and(|last| at < *last + RECENT_INTERVAL) {
+            return;
+        }
+        if self.recent.len() >= MAX_RECENT {
+            self.recent.pop_front();
+        }
+        self.recent.push_back(at);
+    }
+
+    /// Whether the latest confirmation is young enough for the copy to be trusted.
+    fn is_fresh(&self) -> bool {
+        let confirmed = self.confirmed;
+        confirmed.is_some_and(|(at, _)| at.elapsed() < self.max_age)
+    }
+
+    /// Whether the store surely confirmed the copy between two times.
+    fn is_confirmed_in(&self, start: Instant, end: Instant) -> bool {
+        let is_within =
+            |at: &&Instant| **at > start + CONFIRMATION_ERROR && **at + CONFIRMATION_ERROR < end;
+        self.recent.iter().any(|at| is_within(&at))
+    }
+
+    /// Takes an outage into account, unless the store served others meanwhile. One that ended shortly after the known
+    /// one is the same. Returns whether it was one.
+    fn record_outage(&mut self, outage: Outage) -> bool {
+        let start = outage.start;
+        if start.is_some_and(|start| self.is_confirmed_in(start, outage.end)) {
+            return false;
+        }
+        let known = self.outage;
+        if known.is_none_or(|known| outage.end > known.end + SAME_OUTAGE) {
+            self.outage = Some(outage);
         }
+        true
     }
 
     fn receive(&mut self, status: &ReplicaStatus, delay: Duration) {
         let ago = |ms: u32| Instant::now().checked_sub(Duration::from_millis(ms.into()) + delay);
-        if let Some(at) = status.outage_ms.and_then(ago) {
-            self.record_outage_end(at);
+        if let Some(end) = status.outage_ms.and_then(ago) {
+            let length = status
+                .outage_for_ms
+                .map(|ms| Duration::from_millis(ms.into()));
+            let start = length.and_then(|length| end.checked_sub(length));
+            self.record_outage(Outage { start, end });
         }
         let same = self.replica.advance(status.position, status.last_change)
             && self.replica.position() == Some(status.position);
@@ -441,7 +515,8 @@
             floor: self.replica.floor(),
             confirmation: self.confirmed.map(|(_, id)| id),
             age_ms: self.confirmed.map_or(u32::MAX, |(at, _)| ms(at)),
-            outage_ms: self.outage_end.map(ms),
+            outage_ms: self.outage.map(|outage| ms(outage.end)),
+            outage_for_ms: self.outage.and_then(Outage::length_ms),
         })
     }
 }
--- a/crates/router/tests/frames.rs
+++ b/crates/router/tests/frames.rs
@@ -108,6 +108,7 @@
                 }),
                 age_ms: 40,
                 outage_ms: Some(7),
+                outage_for_ms: Some(8),
             }],
         },
         Frame::RequestObjects(ObjectsRequest {
@@ -255,6 +256,7 @@
             confirmation: None,
             age_ms: 40,
             outage_ms: None,
+            outage_for_ms: None,
         },
         difference: Difference {
             from: Some(position(9)),
--- a/crates/router/tests/replicas.rs
+++ b/crates/router/tests/replicas.rs
@@ -426,7 +426,7 @@
     let read_at = Instant::now();
     copies[0].merge_store(KIND, listed.clone(), read_at);
     copies[1].merge_store(KIND, listed, read_at - MAX_AGE);
-    copies[0].record_outage_end(KIND, read_at);
+    assert!(copies[0].record_outage(KIND, read_at, read_at));
 
     for round in 0..40 {
         let news = [status(&copies[round % 2])];
@@ -558,3 +558,36 @@
     encoded.bytes.truncate(encoded.bytes.len() / 2);
     assert_eq!(encoded.decode(), Err(LinkError::Malformed));
 }
+
+/// An instance that had been cut off from the store and all others made the whole fleet keep the entries of servers that
+/// had left.
+#[tokio::test(start_paused = true)]
+async fn outage_in_which_the_store_served_others_is_none_for_them() {
+    let (cut, served) = (follower(), follower());
+    let start = Instant::now();
+    for revision in 1..=10 {
+        time::advance(MAX_AGE / 4).await;
+        served.merge_store(KIND, difference(None, revision, vec![]), Instant::now());
+    }
+    cut.merge_store(KIND, difference(None, 10, vec![]), Instant::now());
+    assert!(cut.record_outage(KIND, start, Instant::now()));
+
+    let _ = served.receive_statuses(&cut.statuses(), Duration::ZERO);
+
+    assert_eq!(served.outage_end(KIND), None);
+}
+
+#[tokio::test(start_paused = true)]
+async fn outage_of_the_store_is_one_for_all() {
+    let (told, telling) = (follower(), follower());
+    for replicas in [&told, &telling] {
+        replicas.merge_store(KIND, difference(None, 1, vec![]), Instant::now());
+    }
+    let start = Instant::now();
+    time::advance(MAX_AGE).await;
+    assert!(telling.record_outage(KIND, start, Instant::now()));
+
+    let _ = told.receive_statuses(&telling.statuses(), Duration::ZERO);
+
+    assert_eq!(told.outage_end(KIND), Some(Instant::now()));
+}
