A large change that is arriving isn't requested from another peer as well

Cause: an unanswered request went to another peer after a quarter of the time allowed, also while the response was arriving in parts, and then to a third one, so that copies of the same change shared one link. Found by reading.

Change: each part that arrives counts as an answer. A peer that sends without end holds nobody up for longer than before: a copy that isn't confirmed makes the instance ask the store.

Measured: crates/router/tests/replicas.rs, request_whose_response_arrives_in_parts_goes_to_no_other_peer: 2 requests where 1 is wanted without the call that records parts, passes with it.

--- a/crates/router/src/fleet/replicas.rs
+++ b/crates/router/src/fleet/replicas.rs
@@ -192,6 +192,8 @@
     outage: Option<Outage>,
     /// When the difference was last requested, unless it has arrived.
     requested: Option<Instant>,
+    /// When a part of it last arrived.
+    progress: Option<Instant>,
     changed: watch::Sender<()>,
 }
 
@@ -230,6 +232,7 @@
             announced: None,
             outage: None,
             requested: None,
+            progress: None,
             changed,
         };
         self.lock().insert(kind.into(), topic);
@@ -267,6 +270,13 @@
         self.lock().get(kind).and_then(|t| t.requested)
     }
 
+    /// Records that a part of a peer's response has arrived, so that no other peer is requested meanwhile.
+    pub fn record_part(&self, kind: &str) {
+        if let Some(topic) = self.lock().get_mut(kind) {
+            topic.progress = topic.requested.map(|_| Instant::now());
+        }
+    }
+
     /// When the store last came back after it had failed, as far as this instance knows.
     #[must_use]
     pub fn outage_end(&self, kind: &str) -> Option<Instant> {
@@ -383,6 +393,7 @@
             return false;
         };
         topic.requested = None;
+        topic.progress = None;
         topic.merge(response.difference);
         topic.receive(&response.status, delay);
         topic.take_announcement()
@@ -487,7 +498,8 @@
 
     fn may_request(&self) -> bool {
         let timeout = self.max_age / REQUEST_DIVISOR;
-        self.requested.is_none_or(|at| at.elapsed() >= timeout)
+        let latest = self.requested.max(self.progress);
+        latest.is_none_or(|at| at.elapsed() >= timeout)
     }
 
     /// Whether the copy or its confirmation is so much newer than what peers were told last that they are to
--- a/crates/router/src/fleet/replication.rs
+++ b/crates/router/src/fleet/replication.rs
@@ -1,5 +1,6 @@
 //! Exchange of the store's objects with one peer: what is sent to it, and what its frames lead to.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,6 +9,7 @@
 use crate::event::Line;
 use crate::fleet::frame::{self, Frame, LinkError, PACKED_SINCE};
 use crate::fleet::packing;
+use crate::fleet::replica::Kind;
 use crate::fleet::replicas::{
     ObjectsPart, ObjectsRequest, ObjectsResponse, PackedResponse, ReplicaStatus, Replicas,
 };
@@ -28,6 +30,8 @@
     delay: TransitDelay,
     /// The parts of a response that have arrived.
     parts: Vec<u8>,
+    /// The kinds that were requested from the peer.
+    awaited: BTreeSet<Kind>,
 }
 
 impl Replication {
@@ -45,6 +49,9 @@
             announce(node, Some(peer));
         }
         let requests = reaction.requests.into_iter();
+        let requests = requests.inspect(|r| {
+            self.awaited.insert(r.kind.clone());
+        });
         requests.map(Frame::RequestObjects).collect()
     }
 
@@ -63,6 +70,9 @@
         }
         self.parts.extend_from_slice(&part.bytes);
         if !part.last {
+            self.awaited
+                .iter()
+                .for_each(|k| node.replicas.record_part(k));
             return Ok(());
         }
         let encoded = EncodedResponse {
@@ -72,6 +82,7 @@
         let response = encoded.decode()?;
         let delay = self.delay.excess(part.sent_ms, node.replicas.clock_ms());
         node.metrics.count("replica.received");
+        self.awaited.remove(&response.status.kind);
         log_slow(node, peer, &response, encoded.bytes.len());
         if node.replicas.receive_response(response, delay) {
             announce(node, Some(peer));
--- a/crates/router/tests/replicas.rs
+++ b/crates/router/tests/replicas.rs
@@ -374,6 +374,29 @@
     assert_eq!(reaction.requests.len(), 1);
 }
 
+/// A large difference that was still on its way was requested from one peer after the other, over the same links.
+#[tokio::test(start_paused = true)]
+async fn request_whose_response_arrives_in_parts_goes_to_no_other_peer() {
+    let (watcher, copy) = (follower(), follower());
+    watcher.merge_store(
+        KIND,
+        difference(None, 10, vec![put("a", 9)]),
+        Instant::now(),
+    );
+    let mut requests = 0;
+    for _ in 0..4 {
+        let reaction = copy.receive_statuses(&[status(&watcher)], Duration::ZERO);
+        requests += reaction.requests.len();
+        time::advance(MAX_AGE / 4).await;
+        copy.record_part(KIND);
+    }
+
+    time::advance(MAX_AGE / 2).await;
+    let late = copy.receive_statuses(&[status(&watcher)], Duration::ZERO);
+
+    assert_eq!((requests, late.requests.len()), (1, 1));
+}
+
 /// Instances that had started at slightly different times requested complete lists from each other, some of them several,
 /// of hundreds of KB each.
 #[tokio::test(start_paused = true)]
