--- a/crates/router/src/fleet/packing.rs
+++ b/crates/router/src/fleet/packing.rs
@@ -7,11 +7,10 @@
 /// Compression level: the quickest, as small instances have little processor time.
 const LEVEL: i32 = 1;
 
-/// Compresses `bytes`.
+/// Compresses `bytes`; `None` if there isn't enough memory for that.
 #[must_use]
-pub fn pack(bytes: &[u8]) -> Vec<u8> {
-    // Only a full disk or a reader that fails can make it fail, and there is neither.
-    zstd::bulk::compress(bytes, LEVEL).unwrap_or_default()
+pub fn pack(bytes: &[u8]) -> Option<Vec<u8>> {
+    zstd::bulk::compress(bytes, LEVEL).ok()
 }
 
 /// Reverses [`pack`].
--- a/crates/router/src/fleet/replicas.rs
+++ b/crates/router/src/fleet/replicas.rs
@@ -140,18 +140,21 @@
 struct PackedDifference {
     from: Option<Position>,
     to: Position,
-    /// `None` if it is too small to be worth it.
+    /// `None` if it is sent as it is.
     bytes: Option<Arc<[u8]>>,
 }
 
 impl PackedDifference {
     fn new(difference: &Difference) -> Self {
         let bytes = frame::encode(difference);
-        let packed = (bytes.len() >= MIN_PACKED_BYTES).then(|| packing::pack(&bytes).into());
+        let packed = match bytes.len() {
+            0..MIN_PACKED_BYTES => None,
+            _ => packing::pack(&bytes),
+        };
         Self {
             from: difference.from,
             to: difference.to,
-            bytes: packed,
+            bytes: packed.map(Into::into),
         }
     }
 
@@ -372,7 +375,7 @@
         })
     }
 
-    /// The difference of a response, encoded and compressed; `None` if it is too small to be worth it.
+    /// The difference of a response, encoded and compressed; `None` if it is sent as it is.
     #[must_use]
     pub fn pack(&self, response: &ObjectsResponse) -> Option<Arc<[u8]>> {
         let mut topics = self.lock();
