The compression of changes imports no frames

Change: the compression has errors of its own, and the copies are handed the function that encodes and compresses. No change of what is sent.

--- a/crates/router/src/fleet/frame.rs
+++ b/crates/router/src/fleet/frame.rs
@@ -16,6 +16,7 @@
 use crate::fleet::isolated_instances::IsolationRecord;
 use crate::fleet::membership::InstanceRecord;
 use crate::fleet::origin::{OriginGroup, OriginQuery, OriginReply};
+use crate::fleet::packing;
 use crate::fleet::replicas::{ObjectsPart, ObjectsRequest, ReplicaStatus};
 pub use crate::load::admission_floors::FloorKind;
 use crate::load::pools::{BrittlePool, PoolCrashes, PoolDemand, PoolLimits};
@@ -198,6 +199,15 @@
     Version,
 }
 
+impl From<packing::Error> for LinkError {
+    fn from(error: packing::Error) -> Self {
+        match error {
+            packing::Error::Malformed => Self::Malformed,
+            packing::Error::Oversized => Self::Oversized,
+        }
+    }
+}
+
 impl LinkError {
     /// The name of the metric that counts links closed for this reason.
     #[must_use]
--- a/crates/router/src/fleet/replicas.rs
+++ b/crates/router/src/fleet/replicas.rs
@@ -12,8 +12,6 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-use crate::fleet::frame;
-use crate::fleet::packing;
 use crate::fleet::replica::{Difference, Kind, Position, Replica};
 use crate::random;
 
@@ -31,8 +29,6 @@
 /// Maximum ages up to which a copy isn't replaced as a whole by a peer's: until then an instance that reaches the store
 /// has asked it for the changes alone.
 const COMPLETE_AGES: u32 = 2;
-/// Size of an encoded difference from which it is compressed, in bytes.
-const MIN_PACKED_BYTES: usize = 4 << 10;
 /// Divisor of the maximum age that gives the time after which an unanswered request is sent to another peer.
 const REQUEST_DIVISOR: u32 = 2;
 
@@ -145,19 +141,6 @@
 }
 
 impl PackedDifference {
-    fn new(difference: &Difference) -> Self {
-        let bytes = frame::encode(difference);
-        let packed = match bytes.len() {
-            0..MIN_PACKED_BYTES => None,
-            _ => packing::pack(&bytes),
-        };
-        Self {
-            from: difference.from,
-            to: difference.to,
-            bytes: packed.map(Into::into),
-        }
-    }
-
     fn is_of(&self, difference: &Difference) -> bool {
         (self.from, self.to) == (difference.from, difference.to)
     }
@@ -375,14 +358,23 @@
         })
     }
 
-    /// The difference of a response, encoded and compressed; `None` if it is sent as it is.
+    /// The difference of a response, encoded and compressed by `pack` unless it was the last one; `None` if it is sent
+    /// as it is.
     #[must_use]
-    pub fn pack(&self, response: &ObjectsResponse) -> Option<Arc<[u8]>> {
+    pub fn pack(
+        &self,
+        response: &ObjectsResponse,
+        pack: impl FnOnce(&Difference) -> Option<Vec<u8>>,
+    ) -> Option<Arc<[u8]>> {
         let mut topics = self.lock();
         let topic = topics.get_mut(&response.status.kind)?;
         let difference = &response.difference;
         let known = topic.packed.take().filter(|p| p.is_of(difference));
-        let packed = known.unwrap_or_else(|| PackedDifference::new(difference));
+        let packed = known.unwrap_or_else(|| PackedDifference {
+            from: difference.from,
+            to: difference.to,
+            bytes: pack(difference).map(Into::into),
+        });
         topic.packed.insert(packed).bytes.clone()
     }
 
--- a/crates/router/src/fleet/replication.rs
+++ b/crates/router/src/fleet/replication.rs
@@ -9,7 +9,7 @@
 use crate::event::Line;
 use crate::fleet::frame::{self, Frame, LinkError, PACKED_SINCE};
 use crate::fleet::packing;
-use crate::fleet::replica::Kind;
+use crate::fleet::replica::{Difference, Kind};
 use crate::fleet::replicas::{
     ObjectsPart, ObjectsRequest, ObjectsResponse, PackedResponse, ReplicaStatus, Replicas,
 };
@@ -21,6 +21,8 @@
 /// Maximum size of a response, in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
 
+/// Size of an encoded difference from which it is compressed, in bytes.
+const MIN_PACKED_BYTES: usize = 4 << 10;
 /// Time from a request to its response from which that is logged.
 const SLOW: Duration = Duration::from_millis(300);
 
@@ -137,7 +139,7 @@
     /// Encodes a response of `replicas` for a peer with this version of the peer protocol.
     #[must_use]
     pub fn new(replicas: &Replicas, response: &ObjectsResponse, protocol: u16) -> Self {
-        let packed = (protocol >= PACKED_SINCE).then(|| replicas.pack(response));
+        let packed = (protocol >= PACKED_SINCE).then(|| replicas.pack(response, pack));
         match packed.flatten() {
             Some(difference) => Self {
                 bytes: frame::encode(&PackedResponse {
@@ -170,6 +172,13 @@
     }
 }
 
+/// A difference, encoded and compressed; `None` if it is too small to be worth it.
+fn pack(difference: &Difference) -> Option<Vec<u8>> {
+    let bytes = frame::encode(difference);
+    let is_large = bytes.len() >= MIN_PACKED_BYTES;
+    is_large.then(|| packing::pack(&bytes)).flatten()
+}
+
 /// The frames that respond to a request of a peer with this version of the peer protocol.
 #[must_use]
 pub fn respond(node: &Node, request: &ObjectsRequest, protocol: u16) -> Vec<Frame> {
