Only a refusal for an older configuration is free of the retry budget

Cause: found on reading the change. Since no refusal of another instance was charged again. One that refuses for another reason may have sent the request to a server that rejected it, which counts as an arrival: retries could pass the budget.

Change: a failure of its own, Outdated; all others are charged as before.

Measured: tests older_configurations, forwarded, names, isolation and layers pass; fmt and Clippy are clean.

--- a/crates/router/src/forward/attempt.rs
+++ b/crates/router/src/forward/attempt.rs
@@ -30,6 +30,9 @@
     WrongServer,
     /// Another instance, to which the request was passed on, refuses it without having run it.
     Refused,
+    /// Another instance, to which the request was passed on, sent it nowhere, as its configuration is older than the one
+    /// under which the request was taken.
+    Outdated,
     /// The request was sent and may have run, but no response was received.
     NoAnswer,
     /// The response isn't to this request, or not from a backend server.
@@ -53,6 +56,7 @@
             Self::NotRun => "not_run",
             Self::WrongServer => "wrong_server",
             Self::Refused => "refused",
+            Self::Outdated => "outdated",
             Self::NoAnswer => "no_answer",
             Self::Foreign => "foreign",
             Self::Broken => "broken",
@@ -61,12 +65,18 @@
         }
     }
 
+    /// Whether the attempt counts as none of the route's.
+    #[must_use]
+    pub const fn is_unsent(&self) -> bool {
+        matches!(self, Self::NotSent | Self::Refused | Self::Outdated)
+    }
+
     /// Whether it is certain that the request didn't run in this attempt.
     #[must_use]
     pub const fn is_certainly_not_run(&self) -> bool {
         matches!(
             self,
-            Self::NotSent | Self::NotRun | Self::WrongServer | Self::Refused
+            Self::NotSent | Self::NotRun | Self::WrongServer | Self::Refused | Self::Outdated
         )
     }
 }
--- a/crates/router/src/forward/forwarder.rs
+++ b/crates/router/src/forward/forwarder.rs
@@ -250,7 +250,7 @@
                 AttemptResult::Done(status) => return Ok(status),
                 AttemptResult::Failed(failure) => failure,
             };
-            if matches!(failure, Failure::NotSent | Failure::Refused) {
+            if failure.is_unsent() {
                 unsent += 1;
             } else {
                 self.attempts += 1;
@@ -354,11 +354,10 @@
             self.context.node.metrics.count("stream.no_version");
             return false;
         }
-        let unsent = matches!(failure, Failure::NotSent | Failure::Refused);
-        if unsent && self.attempts == 0 {
+        if failure.is_unsent() && self.attempts == 0 {
             return true;
         }
-        if matches!(failure, Failure::Stalled | Failure::Refused) {
+        if matches!(failure, Failure::Stalled | Failure::Outdated) {
             // The budget was already charged, when the attempt was abandoned or before it went to the other instance.
             return true;
         }
--- a/crates/router/src/forward/forwarder/peers.rs
+++ b/crates/router/src/forward/forwarder/peers.rs
@@ -4,6 +4,7 @@
 
 use super::{AttemptResult, ForwardError, Forwarder, RECHECK_INTERVAL};
 use crate::fleet::membership::InstanceRecord;
+use crate::forward::attempt::Failure;
 use crate::forward::backend_protocol::BackendProtocol;
 use crate::forward::peer;
 use crate::forward::request::ForwardedBy;
@@ -113,7 +114,7 @@
                     self.may_have_run = ran_before;
                 }
                 context.node.metrics.count("peer.failed");
-                if error.refusal.is_some_and(|refusal| refusal.outdated) {
+                if error.failure == Failure::Outdated {
                     context.node.metrics.count("peer.outdated");
                     self.outdated_peers.push(peer.id.clone());
                 }
--- a/crates/router/src/forward/peer.rs
+++ b/crates/router/src/forward/peer.rs
@@ -41,8 +41,6 @@
 pub struct Refusal {
     /// Whether another instance may take it, as the reason lies in this peer.
     pub elsewhere: bool,
-    /// Whether the reason is that this peer's configuration is older than the one under which the request was taken.
-    pub outdated: bool,
     /// When the caller may retry.
     pub retry_after: Duration,
 }
@@ -156,10 +154,13 @@
     match protocol.classify_forwarded(request, &response.head) {
         ResponseClass::Answered => Ok(response),
         ResponseClass::NotRun | ResponseClass::WrongServer => Err(PeerFailure {
-            failure: Failure::Refused,
+            failure: if protocol.is_outdated(&response.head.headers) {
+                Failure::Outdated
+            } else {
+                Failure::Refused
+            },
             refusal: Some(Refusal {
                 elsewhere: response.head.status == StatusCode::SERVICE_UNAVAILABLE,
-                outdated: protocol.is_outdated(&response.head.headers),
                 retry_after: match retry_after::parse(&response.head.headers) {
                     RestStatement::Rest(delay) => delay,
                     RestStatement::Unstated | RestStatement::Unreadable => DEFAULT_RETRY_AFTER,
