--- a/review/standins-3/case_11.rs
+++ b/review/standins-3/case_11.rs
@@ -1,5 +1,5 @@
 //! A stream that began at one service is continued at another one, of another software version, after its route was
-//! moved there and the process that held it was killed.
+//! moved there and all processes were killed at the same moment.
 
 mod kit;
 
@@ -18,6 +18,10 @@
 const CONFIG_AT: u64 = 2;
 /// Time from the acknowledgement of the config to the kill: `config-apply-ms` and half a second.
 const KILL_AFTER: Duration = Duration::from_millis(2_500);
+/// Time for which the processes are down.
+const DOWN: Duration = Duration::from_millis(1_000);
+/// Requests that the consumer sends at most, after the first one.
+const RETRIES: u32 = 3;
 
 fn config(version: u64, service: &str) -> String {
     format!(
@@ -56,7 +60,8 @@
 }
 
 fn request(id: &str, last: u64, left: Duration) -> Vec<u8> {
-    let resume = if last > 0 { format!("Last-Event-Id: {last}\r\n") } else { String::new() };
+    // `Resumes` names the attempt that brought the first event, as consumers do where several versions serve.
+    let resume = if last > 0 { format!("Last-Event-Id: {last}\r\nResumes: a0\r\n") } else { String::new() };
     let body = "the same prompt";
     format!(
         "POST /drafts/2f HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: {id}\r\n{resume}X-Model: m\r\n\
@@ -90,9 +95,8 @@
         store.put("servers", id, &kit::entry(service, net.worker(number), version, 64, "ready", 1));
     }
     store.put("config", "main", &config(3, "drafts-old"));
-    let mut first = Front::start(net, 0, 2, &temporary.0);
-    let second = Front::start(net, 1, 2, &temporary.0);
-    if !first.wait_ready() || !second.wait_ready() {
+    let mut fronts = [Front::start(net, 0, 2, &temporary.0), Front::start(net, 1, 2, &temporary.0)];
+    if !fronts.iter().all(Front::wait_ready) {
         return kit::NOT_RUN;
     }
     // All has stood still for longer than any stream can last.
@@ -104,11 +108,11 @@
     let began = Instant::now();
     let consumer = {
         let (record, last, answer) = (Arc::clone(&record), Arc::clone(&last), Arc::clone(&answer));
-        let address = first.address;
+        let address = fronts[0].address;
         thread::spawn(move || {
-            record.line("the consumer sends request a1 to the first process");
-            let got = kit::ask(address, &request("a1", 0, TIME_LIMIT), TIME_LIMIT, &record, |event| {
-                record.line(format!("a1: event {} '{}'", event.id, event.data));
+            record.line("the consumer sends request a0 to the first process");
+            let got = kit::ask(address, &request("a0", 0, TIME_LIMIT), TIME_LIMIT, &record, |event| {
+                record.line(format!("a0: event {} '{}'", event.id, event.data));
                 last.store(event.id, Ordering::SeqCst);
             });
             *answer.lock().unwrap() = Some(got);
@@ -125,45 +129,61 @@
     record.line("the store acknowledges config 4: the route is moved from drafts-old to drafts-new");
     if trouble {
         thread::sleep(KILL_AFTER);
-        record.line("SIGKILL to the first process");
-        first.signal("KILL");
-        let _ = first.child.wait();
+        record.line("SIGKILL to both processes");
+        fronts.iter().for_each(|front| front.signal("KILL"));
+        thread::sleep(DOWN);
+        fronts.iter_mut().for_each(Front::restart);
+        record.line("both processes are started again");
     }
     let _ = consumer.join();
-    let first_part = answer.lock().unwrap().take().expect("the consumer has ended");
-    record.line(format!(
-        "a1: status {}, {} events, complete: {}",
-        first_part.status,
-        first_part.events.len(),
-        first_part.complete
-    ));
-    let mut events = first_part.events.clone();
-    let mut complete = first_part.complete;
-    if !complete {
-        // As the pages allow: once more, on a new channel, from the last event on.
-        let after = events.last().map_or(0, |e| e.id);
-        let left = TIME_LIMIT.saturating_sub(began.elapsed());
-        record.line(format!("the consumer sends request a2 to the second process, Last-Event-Id: {after}"));
-        let second_part = kit::ask(second.address, &request("a2", after, left), left, &record, |event| {
-            record.line(format!("a2: event {} '{}'", event.id, event.data));
-        });
+    let mut part = answer.lock().unwrap().take().expect("the consumer has ended");
+    let mut events = Vec::new();
+    let mut number = 0;
+    let complete = loop {
         record.line(format!(
-            "a2: status {}, {} events, complete: {}",
-            second_part.status,
-            second_part.events.len(),
-            second_part.complete
+            "a{number}: status {}, {} events, complete: {}",
+            part.status,
+            part.events.len(),
+            part.complete
         ));
-        if second_part.status == 200 {
-            complete = second_part.complete;
-            events.extend(second_part.events);
+        let taken = part.status == 200;
+        if taken {
+            events.append(&mut part.events);
+        }
+        if (taken && part.complete) || number == RETRIES {
+            break taken && part.complete;
+        }
+        // As the pages allow: again, within the time limit, on a new channel, from the last event on.
+        thread::sleep(retry_after(&part.head));
+        number += 1;
+        let front = &fronts[number as usize % 2];
+        let after = events.last().map_or(0, |e: &kit::Event| e.id);
+        let end = began + TIME_LIMIT;
+        while std::net::TcpStream::connect(front.address).is_err() && Instant::now() < end {
+            thread::sleep(Duration::from_millis(50));
+        }
+        let left = end.saturating_duration_since(Instant::now());
+        let id = format!("a{number}");
+        record.line(format!("the consumer sends request {id} to {}, Last-Event-Id: {after}", front.name));
+        part = kit::ask(front.address, &request(&id, after, left), left, &record, |event| {
+            record.line(format!("{id}: event {} '{}'", event.id, event.data));
+        });
+    };
+    for front in &fronts {
+        for line in front.log_lines(&["event=stream.origin"]) {
+            record.line(format!("log: {line}"));
         }
-    }
-    for line in second.log_lines(&["event=stream.origin"]) {
-        record.line(format!("log of the second process: {line}"));
     }
     verdict(&record, &events, complete)
 }
 
+/// The time that a refusal asks for, 0.1 s if there is none.
+fn retry_after(head: &str) -> Duration {
+    let lower = head.to_ascii_lowercase();
+    let seconds = lower.lines().find_map(|l| l.strip_prefix("retry-after:")?.trim().parse::<f64>().ok());
+    Duration::from_secs_f64(seconds.unwrap_or(0.1).clamp(0.05, 2.0))
+}
+
 /// ORDER: no piece is missing or comes twice, and the pieces are of one version.
 fn verdict(record: &Record, events: &[kit::Event], complete: bool) -> i32 {
     let ids: Vec<u64> = events.iter().map(|e| e.id).collect();
--- a/review/standins-3/kit.rs
+++ b/review/standins-3/kit.rs
@@ -580,9 +580,12 @@
             })
     }
 
-    /// Starts the process again after it has ended, with the same settings.
+    /// Starts the process again after it has ended. It isn't the first start of the system any more.
     pub fn restart(&mut self) {
         let _ = self.child.wait();
+        let path = self.folder.join("boot.conf");
+        let settings = fs::read_to_string(&path).unwrap_or_default();
+        let _ = fs::write(&path, settings.replace("bootstrap=true", "bootstrap=false"));
         self.child = Self::spawn(&self.folder);
     }
 
