--- a/review/standins-3/case_13.rs
+++ b/review/standins-3/case_13.rs
@@ -1,75 +1,106 @@
-//! A worker starts again under its id with another software version. Streams that begin there before its entry has
-//! reached the process are taken for streams of the old version, and go on at a worker of that one when they break.
+//! All processes are killed at the same moment. Streams of a route whose traffic is split between two services aren't
+//! taken up again, although all workers of both services have had one version all the time.
 
 mod kit;
 
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use kit::{Answer, Front, Net, Record, Request, Store, Worker};
+use kit::{Answer, Front, Net, Record, Request, Store, Temporary};
 
-const EVENTS: u64 = 20;
-const EVENT_GAP: Duration = Duration::from_millis(250);
+const EVENTS: u64 = 40;
+const EVENT_GAP: Duration = Duration::from_millis(150);
 const TIME_LIMIT: Duration = Duration::from_millis(8_000);
-/// Streams that begin right after the restart, and the time between them.
-const STREAMS: usize = 15;
-const STREAM_GAP: Duration = Duration::from_millis(24);
-/// Time for which a worker is down when it starts again.
-const DOWN: Duration = Duration::from_millis(60);
-/// Time between the starts of two workers that are replaced one after the other.
-const RESTART_GAP: Duration = Duration::from_millis(1_300);
-/// Time between two check-ins of a worker, at which its `cold-remaining-ms` is written anew.
-const CHECK_IN: Duration = Duration::from_millis(1_200);
-/// How long a worker remains slow after its start, as it says.
-const COLD_MS: u64 = 3_000;
-/// Time from the second restart to the crash of that worker.
-const CRASH_AFTER: Duration = Duration::from_millis(2_500);
+/// Streams that are taken up, and as many new ones beside them.
+const STREAMS: usize = 20;
+/// Time from the beginning of the streams to the kill, for which the processes are down, and from their start to the
+/// take-ups: `stable-window-ms` and 0.3 s.
+const KILL_AFTER: Duration = Duration::from_millis(900);
+const DOWN: Duration = Duration::from_millis(1_000);
+const IN_TOUCH: Duration = Duration::from_millis(3_300);
+/// Requests that a consumer sends at most to take its stream up.
+const RETRIES: u32 = 3;
+/// By the rule, fewer streams that are taken up say nothing.
+const STREAMS_LEAST: usize = 12;
 
-const CONFIG: &str = "{\"version\":3,\"routes\":[{\"name\":\"drafts\",\"hostname\":\"h.example\",\
-    \"path-prefix\":\"/drafts/\",\"kind\":\"streaming\",\"timeout-ms\":8000,\"target-latency-ms\":1200,\
-    \"priority\":0,\"service\":\"pool\",\"max-attempts\":2,\"public\":false,\"sticky\":false,\
-    \"resumable\":true,\"target-gap-ms\":400}],\
-    \"services\":[{\"name\":\"pool\",\"health-path\":\"/healthz\",\"max-connections\":360,\
-    \"protocol\":\"h1\",\"tls\":false}],\
-    \"limits\":{\"max-header-bytes\":16384,\"max-body-bytes\":4194304,\"header-timeout-ms\":3000,\
-    \"idle-timeout-ms\":15000},\
-    \"tenants\":[{\"name\":\"tenant-a\",\"api-keys\":[\"key-a\"],\"priority\":1}]}";
+fn config() -> String {
+    // SPLIT=0 sends all of the route's traffic to one service, to show what the split changes.
+    let split = std::env::var("SPLIT").map_or(true, |v| v != "0");
+    let services = if split {
+        "\"traffic-split\":[{\"service\":\"drafts-a\",\"weight\":90},{\"service\":\"drafts-b\",\"weight\":10}]"
+    } else {
+        "\"service\":\"drafts-a\""
+    };
+    format!(
+        "{{\"version\":3,\"routes\":[{{\"name\":\"drafts\",\"hostname\":\"h.example\",\
+         \"path-prefix\":\"/drafts/\",\"kind\":\"streaming\",\"timeout-ms\":8000,\"target-latency-ms\":1200,\
+         \"priority\":0,{services},\"max-attempts\":2,\"public\":false,\"sticky\":true,\
+         \"resumable\":true,\"target-gap-ms\":400}}],\
+         \"services\":[{{\"name\":\"drafts-a\",\"health-path\":\"/healthz\",\"max-connections\":360,\
+         \"protocol\":\"h1\",\"tls\":false}},{{\"name\":\"drafts-b\",\"health-path\":\"/healthz\",\
+         \"max-connections\":360,\"protocol\":\"h1\",\"tls\":false}}],\
+         \"limits\":{{\"max-header-bytes\":16384,\"max-body-bytes\":4194304,\"header-timeout-ms\":3000,\
+         \"idle-timeout-ms\":15000}},\
+         \"tenants\":[{{\"name\":\"tenant-a\",\"api-keys\":[\"key-a\"],\"priority\":1}}]}}"
+    )
+}
 
-/// Sends the events after `Last-Event-Id`; each names the version of the software that made it.
-fn script(record: &Arc<Record>, id: &'static str, version: &Arc<AtomicU64>) -> Arc<kit::Script> {
-    let (record, version) = (Arc::clone(record), Arc::clone(version));
+/// Sends the events after `Last-Event-Id`.
+fn script(id: &'static str) -> Arc<kit::Script> {
     Arc::new(move |request: &Request, stream| {
-        let after: u64 = request.header("last-event-id").parse().unwrap_or(0);
-        let name = request.header("x-request-id").to_owned();
-        let version = version.load(Ordering::SeqCst);
-        record.line(format!("worker {id} (v{version}) runs {name}, after event {after}"));
-        let mut sent = after;
+        let mut sent: u64 = request.header("last-event-id").parse().unwrap_or(0);
         let mut open = kit::stream_head(stream, request, "");
         while open && sent < EVENTS {
             open = kit::pause(stream, EVENT_GAP);
             sent += u64::from(open);
-            open = open && kit::send_chunk(stream, &kit::event_text(sent, &format!("piece {sent} of v{version}")));
+            open = open && kit::send_chunk(stream, &kit::event_text(sent, &format!("piece {sent} of {id}")));
         }
         open && kit::end_chunks(stream)
     })
 }
 
-fn request(id: &str, last: u64) -> Vec<u8> {
-    let resume = if last > 0 { format!("Last-Event-Id: {last}\r\n") } else { String::new() };
+fn request(id: &str, resumed: Option<(&str, u64)>, left: Duration) -> Vec<u8> {
+    let resume = resumed.map_or(String::new(), |(first, last)| {
+        format!("Last-Event-Id: {last}\r\nResumes: {first}\r\n")
+    });
     let body = "the prompt";
     format!(
         "POST /drafts/2f HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: {id}\r\n{resume}X-Model: m\r\n\
-         X-Token-Usage: 660,80\r\nX-Prompt-Prefix: {id:0>4}:660\r\nX-Deadline-Ms: {}\r\n\
+         X-Token-Usage: 660,80\r\nX-Prompt-Prefix: 5c1e07a2:200,{:x}:460\r\nX-Deadline-Ms: {}\r\n\
          X-Key: key-a\r\nContent-Length: {}\r\n\r\n{body}",
-        TIME_LIMIT.as_millis(),
-        body.len(),
-        id = id
+        id.bytes().fold(7_u64, |h, b| h.wrapping_mul(131).wrapping_add(b.into())) >> 8,
+        left.as_millis(),
+        body.len()
     )
     .into_bytes()
 }
 
+/// How a stream went on for its consumer.
+struct TakeUp {
+    id: String,
+    statuses: Vec<u16>,
+    went_on: bool,
+}
+
+/// Takes a stream up, as the pages allow: within the time limit, on new channels, after the `Retry-After` of a refusal.
+fn take_up(id: &str, began: Instant, first: &Answer, fronts: [std::net::SocketAddr; 2], record: &Record) -> TakeUp {
+    let last = first.events.last().map_or(0, |e| e.id);
+    let mut statuses = Vec::new();
+    for number in 1..=RETRIES {
+        let left = (began + TIME_LIMIT).saturating_duration_since(Instant::now());
+        let again = format!("{id}-{number}");
+        let address = fronts[(number as usize + id.len()) % 2];
+        let answer = kit::ask(address, &request(&again, Some((id, last)), left), left, record, |_| {});
+        statuses.push(answer.status);
+        if answer.status == 200 && answer.events.first().is_some_and(|e| e.id == last + 1) {
+            return TakeUp { id: id.to_owned(), statuses, went_on: true };
+        }
+        thread::sleep(Duration::from_millis(300));
+    }
+    TakeUp { id: id.to_owned(), statuses, went_on: false }
+}
+
 fn main() {
     let folder = std::env::args().nth(1).expect("the folder of the case");
     std::process::exit(run(&folder));
@@ -79,91 +110,112 @@
     let trouble = kit::has_trouble();
     let record = Record::new(folder);
     let net = Net::free();
-    let temporary = kit::Temporary::create();
+    let temporary = Temporary::create();
     let store = Store::start(net.store());
     record.line(format!("TROUBLE={}", u8::from(trouble)));
-    let ids = ["i-1", "i-2", "i-3", "i-4", "i-5"];
-    let versions: Vec<Arc<AtomicU64>> = ids.iter().map(|_| Arc::new(AtomicU64::new(1))).collect();
-    let mut workers = Vec::new();
-    for (number, id) in ids.into_iter().enumerate() {
-        let address = net.worker(number as u8);
-        workers.push(Worker::start(address, id, script(&record, id, &versions[number])));
-        store.put("servers", id, &kit::entry("pool", address, "v1", 64, "ready", 1));
+    for (number, id, service) in [
+        (0, "i-a1", "drafts-a"),
+        (1, "i-a2", "drafts-a"),
+        (2, "i-a3", "drafts-a"),
+        (3, "i-b1", "drafts-b"),
+        (4, "i-b2", "drafts-b"),
+        (5, "i-b3", "drafts-b"),
+    ] {
+        kit::start_worker(net.worker(number), id, script(id));
+        store.put("servers", id, &kit::entry(service, net.worker(number), "v1", 64, "ready", 1));
     }
-    store.put("config", "main", CONFIG);
-    let front = Front::start(net, 0, 2, &temporary.0);
-    let other = Front::start(net, 1, 2, &temporary.0);
-    if !front.wait_ready() || !other.wait_ready() {
+    store.put("config", "main", &config());
+    let mut fronts = [Front::start(net, 0, 2, &temporary.0), Front::start(net, 1, 2, &temporary.0)];
+    if !fronts.iter().all(Front::wait_ready) {
         return kit::NOT_RUN;
     }
-    record.line("both processes are ready; 3 s without any change follow");
-    thread::sleep(Duration::from_secs(3));
+    record.line("both processes are ready; 20 s without any change follow");
+    thread::sleep(Duration::from_secs(20));
 
-    let publish = |number: usize, cold_ms: u64| {
-        let entry = kit::entry("pool", net.worker(number as u8), "v2", 64, "ready", 2);
-        let cold = format!("\"cold-remaining-ms\":{cold_ms}");
-        store.put("servers", ids[number], &entry.replace("\"cold-remaining-ms\":0", &cold));
-    };
-    let restart = |number: usize| {
-        record.line(format!("worker {} ends, to start again with v2", ids[number]));
-        workers[number].end();
-        thread::sleep(DOWN);
-        versions[number].store(2, Ordering::SeqCst);
-        workers[number].begin();
-        thread::sleep(Duration::from_millis(5));
-        publish(number, COLD_MS);
-        record.line(format!("worker {} has started again with v2, and its entry is in the store", ids[number]));
-    };
+    let addresses = [fronts[0].address, fronts[1].address];
+    let began = Instant::now();
+    let streams: Arc<Mutex<Vec<(String, Answer)>>> = Arc::default();
+    let mut consumers = Vec::new();
+    for number in 0..STREAMS {
+        let (record, streams) = (Arc::clone(&record), Arc::clone(&streams));
+        consumers.push(thread::spawn(move || {
+            let id = format!("a{number}");
+            let first = kit::ask(addresses[number % 2], &request(&id, None, TIME_LIMIT), TIME_LIMIT, &record, |_| {});
+            streams.lock().unwrap().push((id, first));
+        }));
+    }
+    record.line(format!("{STREAMS} streams begin"));
     if trouble {
-        restart(0);
-        thread::sleep(CHECK_IN);
-        publish(0, COLD_MS - 1_200);
-        record.line("worker i-1 checks in");
-        thread::sleep(RESTART_GAP.saturating_sub(CHECK_IN));
-        restart(1);
+        thread::sleep(KILL_AFTER);
+        record.line("SIGKILL to both processes");
+        fronts.iter().for_each(|front| front.signal("KILL"));
+        thread::sleep(DOWN);
+        fronts.iter_mut().for_each(Front::restart);
+        record.line("both processes are started again");
     }
-    let answers: Arc<Mutex<Vec<(String, Answer)>>> = Arc::default();
+    for consumer in consumers {
+        let _ = consumer.join();
+    }
+    let streams = streams.lock().unwrap().clone();
+    let broken: Vec<(String, Answer)> = streams.into_iter().filter(|(_, a)| !a.complete).collect();
+    record.line(format!("{} streams broke off, {} of them with an event", broken.len(), with_events(&broken)));
+    if broken.is_empty() {
+        record.line("no stream is taken up; LOST held");
+        return kit::HELD;
+    }
+    thread::sleep(IN_TOUCH);
+    record.line("both processes are in touch; the consumers take their streams up, and new streams begin");
+    let taken: Arc<Mutex<Vec<TakeUp>>> = Arc::default();
+    let new: Arc<Mutex<usize>> = Arc::default();
     let mut consumers = Vec::new();
+    for (id, first) in broken.into_iter().filter(|(_, a)| !a.events.is_empty()) {
+        let (record, taken) = (Arc::clone(&record), Arc::clone(&taken));
+        consumers.push(thread::spawn(move || {
+            let up = take_up(&id, began, &first, addresses, &record);
+            taken.lock().unwrap().push(up);
+        }));
+    }
     for number in 0..STREAMS {
-        let (record, answers, address) = (Arc::clone(&record), Arc::clone(&answers), front.address);
+        let (record, new) = (Arc::clone(&record), Arc::clone(&new));
         consumers.push(thread::spawn(move || {
-            let id = format!("a{number}");
-            let answer = kit::ask(address, &request(&id, 0), TIME_LIMIT, &record, |_| {});
-            answers.lock().unwrap().push((id, answer));
+            let id = format!("n{number}");
+            let limit = Duration::from_secs(2);
+            let answer = kit::ask(addresses[number % 2], &request(&id, None, TIME_LIMIT), limit, &record, |_| {});
+            *new.lock().unwrap() += usize::from(answer.status == 200 && !answer.events.is_empty());
         }));
-        thread::sleep(STREAM_GAP);
     }
-    thread::sleep(CRASH_AFTER);
-    record.line("worker i-2 crashes");
-    workers[1].end();
     for consumer in consumers {
         let _ = consumer.join();
     }
-    for line in front.log_lines(&["event=server.entry"]) {
-        record.line(format!("log: {line}"));
+    for front in &fronts {
+        for line in front.log_lines(&["event=stream.origin"]).iter().take(4) {
+            record.line(format!("log: {line}"));
+        }
     }
-    for line in front.log_lines(&["event=request.again"]) {
-        record.line(format!("log: {line}"));
+    let new = *new.lock().unwrap();
+    let taken = taken.lock().unwrap();
+    verdict(&record, &taken, new)
+}
+
+fn with_events(streams: &[(String, Answer)]) -> usize {
+    streams.iter().filter(|(_, a)| !a.events.is_empty()).count()
+}
+
+/// LOST: of 12 or more streams that are taken up, the share that goes on is under half of the share of new ones that begin.
+fn verdict(record: &Record, taken: &[TakeUp], new: usize) -> i32 {
+    for up in taken {
+        record.line(format!("{}: answers {:?}, went on: {}", up.id, up.statuses, up.went_on));
     }
-    let mut broken = false;
-    let mut answers = answers.lock().unwrap().clone();
-    answers.sort_by(|a, b| a.0.cmp(&b.0));
-    for (id, answer) in &answers {
-        let of = |v: &str| answer.events.iter().filter(|e| e.data.ends_with(v)).count();
-        let (old, new) = (of("v1"), of("v2"));
-        let joined = old > 0 && new > 0;
-        record.line(format!(
-            "{id}: status {}, {old} pieces of v1, {new} of v2, complete: {}{}",
-            answer.status,
-            answer.complete,
-            if joined { "; joined from two versions" } else { "" }
-        ));
-        broken |= joined;
+    let went_on = taken.iter().filter(|up| up.went_on).count();
+    record.line(format!("{went_on} of {} streams went on; {new} of {STREAMS} new ones began", taken.len()));
+    if taken.len() < STREAMS_LEAST || new < STREAMS / 2 {
+        record.line("too few streams to judge");
+        return kit::NOT_RUN;
     }
-    if broken {
-        record.line("ORDER is broken: pieces of two runs, of two versions, are joined in one answer");
+    if went_on * STREAMS * 2 < new * taken.len() {
+        record.line("LOST is broken: streams that consumers take up again don't go on");
         return kit::BROKEN;
     }
-    record.line("ORDER held");
+    record.line("LOST held");
     kit::HELD
 }
