--- a/review/standins-3/kit.rs
+++ b/review/standins-3/kit.rs
@@ -371,7 +371,7 @@
 /// What a worker does with a request for itself. Returns whether it keeps the channel.
 pub type Script = dyn Fn(&Request, &mut TcpStream) -> bool + Send + Sync;
 
-/// Starts a worker. A request that expects another instance gets 421 and isn't run.
+/// Starts a worker for the whole of a case. A request that expects another instance gets 421 and isn't run.
 pub fn start_worker(address: SocketAddr, id: &str, script: Arc<Script>) {
     let listener = TcpListener::bind(address).expect("the worker's address is free");
     let id = id.to_owned();
@@ -591,7 +591,8 @@
 
     /// Sends a signal to the process, by its id.
     pub fn signal(&self, name: &str) {
-        let _ = Command::new("kill").args([&format!("-{name}"), &self.child.id().to_string()]).status();
+        let command = format!("kill -{name} {}", self.child.id());
+        let _ = Command::new("sh").args(["-c", &command]).status();
     }
 
     pub fn is_ready(&self) -> bool {
