--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -192,16 +192,18 @@
             "outcome",
             "service",
             "version",
+            "longest_ms",
+            "only_ms",
             "took_ms",
         ],
-        meaning: "a caller takes up a stream that the attempt `first_attempt` began; the outcome is `found`, with the service and the version that the stream is bound to, `deduced` if the caller doesn't name the attempt and all servers have long had one version, or `unknown`, and the stream doesn't go on",
+        meaning: "a caller takes up a stream that the attempt `first_attempt` began; the outcome is `found`, with the service and the version that the stream is bound to, `deduced` if nobody remembers it and all servers have had one version for longer (`only_ms`) than the stream can have lasted (`longest_ms`), or `unknown`, and the stream doesn't go on",
     },
     EventSpec {
         name: "request.again",
         fields: &[
-            "id", "server", "cause", "allowed", "version", "sendings", "left_ms",
+            "id", "server", "cause", "allowed", "denied", "version", "sendings", "left_ms",
         ],
-        meaning: "an attempt failed; `allowed` tells whether the request may be retried on another server, `version` the version that this one must have",
+        meaning: "an attempt failed; `allowed` tells whether the request may be retried on another server, `version` the version that this one must have; `denied` why not: `unsent` (too many attempts before a byte was sent), `version` (no server has it), `kind` (it may have run), `attempts` (the route's) or `budget`",
     },
     EventSpec {
         name: "request.end",
--- a/crates/router/src/forward/access_log.rs
+++ b/crates/router/src/forward/access_log.rs
@@ -10,7 +10,7 @@
 use smol_str::{SmolStr, format_smolstr};
 use tokio::time::Instant;
 
-use super::attempt::Failure;
+use super::attempt::{Denial, Failure};
 use super::request::Request;
 use crate::config;
 use crate::error::Fault;
@@ -150,8 +150,9 @@
             .write(Level::Info);
     }
 
-    /// Records that the latest attempt failed, and writes a log line that says whether a retry is allowed.
-    pub fn fail_attempt(&mut self, failure: Failure, allowed: bool) {
+    /// Records that the latest attempt failed, and writes a log line that says why there is no retry, or that it is allowed
+    /// if `denial` is `None`.
+    pub fn fail_attempt(&mut self, failure: Failure, denial: Option<Denial>) {
         let left = self
             .request
             .expires_at()
@@ -164,7 +165,8 @@
             .field("id", &self.request.id)
             .field("server", &attempt.server)
             .field("cause", failure.as_str())
-            .field("allowed", allowed)
+            .field("allowed", denial.is_none())
+            .optional_field("denied", denial.map(|d| d.as_str()))
             .optional_field("version", self.version.as_ref())
             .field("sendings", count)
             .field("left_ms", left.as_millis())
--- a/crates/router/src/forward/attempt.rs
+++ b/crates/router/src/forward/attempt.rs
@@ -81,6 +81,35 @@
     }
 }
 
+/// Why a request isn't retried.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Denial {
+    /// Too many attempts failed before a byte was sent.
+    Unsent,
+    /// No server has the version that began the stream.
+    Version,
+    /// It may have run and isn't idempotent.
+    Kind,
+    /// The route allows no further attempt.
+    Attempts,
+    /// The retry budget is used up.
+    Budget,
+}
+
+impl Denial {
+    /// The name used in logs.
+    #[must_use]
+    pub const fn as_str(&self) -> &'static str {
+        match self {
+            Self::Unsent => "unsent",
+            Self::Version => "version",
+            Self::Kind => "kind",
+            Self::Attempts => "attempts",
+            Self::Budget => "budget",
+        }
+    }
+}
+
 /// Sends `request` to the permit's backend server and waits for the head of the response. A load report in
 /// the response, and a failed connection, are recorded for the server.
 ///
--- a/crates/router/src/forward/forwarder.rs
+++ b/crates/router/src/forward/forwarder.rs
@@ -20,20 +20,14 @@
 use crate::error::{Fault, Kind, Ran};
 use crate::fleet::membership::{InstanceId, InstanceRecord};
 use crate::http1::{Disconnected, ResponseWriter};
-use crate::load::budget::{self, BudgetLimits, RetryBudget};
+use crate::load::budget::{BudgetLimits, RetryBudget};
 use crate::load::pool::{AdmissionRequest, LostServer, Patience, Permit, Pool};
 use crate::load::prompt_placement::Prompt;
 use crate::load::queue::RequestAttributes;
 use crate::node::Node;
 
-/// Limit on attempts that fail before a byte is sent. They don't count as attempts of the route.
-const MAX_UNSENT_ATTEMPTS: u32 = 4;
 /// Interval between checks whether a late request may be retried.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(150);
-/// A stream counts as stalled after a pause of this many times the route's gap target.
-const STALL_GAP_FACTOR: u32 = 3;
-/// Shortest pause that counts as a stall, whatever the gap target.
-const MIN_STALL: Duration = Duration::from_secs(1);
 /// Longest time for which a route may have queued requests without any of them being sent.
 const STARVATION_BOUND: Duration = Duration::from_secs(4);
 /// Batches of events with which a response has gone past its beginning.
@@ -45,6 +39,7 @@
 
 mod peers;
 mod responses;
+mod retries;
 
 use responses::BufferedResponse;
 
@@ -255,9 +250,9 @@
             } else {
                 self.attempts += 1;
             }
-            let allowed = unsent < MAX_UNSENT_ATTEMPTS && self.may_retry(failure);
-            self.log.fail_attempt(failure, allowed);
-            if !allowed {
+            let denial = self.retry(failure, unsent).err();
+            self.log.fail_attempt(failure, denial);
+            if denial.is_some() {
                 return Err(ForwardError::Fault(self.fault(failure)));
             }
         }
@@ -348,80 +343,6 @@
         }
     }
 
-    /// Whether the request may be retried after `failure`; charges the retry budget where that is due.
-    fn may_retry(&self, failure: Failure) -> bool {
-        if !self.binding.is_served_by(&self.pool, None) {
-            self.context.node.metrics.count("stream.no_version");
-            return false;
-        }
-        if failure.is_unsent() && self.attempts == 0 {
-            return true;
-        }
-        if matches!(failure, Failure::Stalled | Failure::Outdated) {
-            // The budget was already charged, when the attempt was abandoned or before it went to the other instance.
-            return true;
-        }
-        let retryable = !self.may_have_run || self.request.route.kind.is_retryable();
-        let left = self.attempts < self.request.route.max_attempts;
-        retryable && left && self.spend_retry()
-    }
-
-    /// Whether the current attempt may be abandoned for one at another server, however it ends.
-    fn may_move(&self, permit: &Permit) -> bool {
-        let route = &self.request.route;
-        let left = route.kind.is_retryable() && self.attempts + 1 < route.max_attempts;
-        left && self.binding.is_served_by(&self.pool, Some(permit.server))
-    }
-
-    /// Completes when the attempt should be abandoned in favour of a retry: the latency target has passed,
-    /// the server has started later requests first, and the retry budget was charged. A server that is merely
-    /// slow keeps its requests, as retrying them would add to the load.
-    async fn wait_overtaken(&self, permit: &Permit) {
-        if !self.may_move(permit) {
-            return std::future::pending().await;
-        }
-        time::sleep(self.request.route.latency_target).await;
-        while !(permit.overtaken() && self.spend_retry()) {
-            time::sleep(RECHECK_INTERVAL).await;
-        }
-    }
-
-    /// Completes when a stream should be abandoned in favour of a retry: it has paused for too long, or this
-    /// instance is cut off, and the retry budget was charged. Before the first event, the pause is judged as in
-    /// `wait_overtaken`. Never completes for a stream of another instance, which watches it.
-    async fn wait_stalled(&self, permit: Option<&Permit>, started: bool) {
-        let Some(permit) = permit else {
-            return std::future::pending().await;
-        };
-        tokio::select! {
-            () = self.wait_paused(permit, started) => {}
-            () = self.wait_cut(permit) => {}
-        }
-    }
-
-    async fn wait_paused(&self, permit: &Permit, started: bool) {
-        if !started {
-            return self.wait_overtaken(permit).await;
-        }
-        if !self.may_move(permit) {
-            return std::future::pending().await;
-        }
-        let gap = self.request.route.gap_target.unwrap_or_default() * STALL_GAP_FACTOR;
-        time::sleep(gap.max(MIN_STALL)).await;
-        while !self.spend_retry() {
-            time::sleep(RECHECK_INTERVAL).await;
-        }
-    }
-
-    /// Charges the service's retry budget; returns whether it covers another retry.
-    fn spend_retry(&self) -> bool {
-        let limits = &self.context.limits;
-        let instances = budget::slack_divisor(self.context.node.membership.size());
-        let now = Instant::now();
-        self.context
-            .with_budget(self.service, |b| b.try_spend(limits, instances, now))
-    }
-
     fn fault(&self, failure: Failure) -> Fault {
         let retry_after = self.pool.rest_left().unwrap_or(RETRY_AFTER);
         let reason = failure.as_str();
--- a/crates/router/src/forward/origin.rs
+++ b/crates/router/src/forward/origin.rs
@@ -106,9 +106,12 @@
         }
         None => None,
     };
-    let (origin, outcome) = match found {
-        Some(origin) => (Some(origin), "found"),
-        None => (deduce(node, request).await, "deduced"),
+    let (origin, outcome, ages) = match found {
+        Some(origin) => (Some(origin), "found", None),
+        None => {
+            let ages = Ages::new(node, request);
+            (deduce(node, request).await, "deduced", ages)
+        }
     };
     let origin = origin.filter(|origin| request.route.leads_to(&origin.service));
     let outcome = origin.as_ref().map_or("unknown", |_| outcome);
@@ -118,6 +121,8 @@
         .field("outcome", outcome)
         .optional_field("service", origin.as_ref().map(|o| &o.service))
         .optional_field("version", origin.as_ref().map(|o| &o.version))
+        .optional_field("longest_ms", ages.map(|a| a.longest.as_millis()))
+        .optional_field("only_ms", ages.map(|a| a.only.as_millis()))
         .field("took_ms", started.elapsed().as_millis())
         .write(Level::Info);
     node.metrics.count(match origin {
@@ -127,6 +132,34 @@
     origin.map(Binding::Origin).ok_or_else(unknown_origin)
 }
 
+/// The times that decide whether one version can be the only one that began a stream.
+#[derive(Clone, Copy, Debug)]
+struct Ages {
+    /// How long the stream can have lasted.
+    longest: Duration,
+    /// For how long all servers have had one version; zero while they haven't.
+    only: Duration,
+}
+
+impl Ages {
+    /// The times for a request whose route leads to one service; `None` for others.
+    fn new(node: &Node, request: &Request) -> Option<Self> {
+        let [entry] = request.route.services.as_slice() else {
+            return None;
+        };
+        let pool = node.pools.get(&entry.service)?;
+        Some(Self {
+            longest: longest_stream(request),
+            only: pool.only_version_age().unwrap_or_default(),
+        })
+    }
+}
+
+/// How long the stream that a request takes up can have lasted.
+fn longest_stream(request: &Request) -> Duration {
+    request.route.timeout * STREAM_TIMEOUTS
+}
+
 /// The origin of a stream that nobody remembers, or whose caller doesn't name its first attempt: the route's only
 /// service, if all of its servers have had one version for longer than the stream can have lasted. That they
 /// have it now proves nothing, as the server that began the stream may be gone. Nor does a list of servers that is
@@ -135,7 +168,7 @@
     let [entry] = request.route.services.as_slice() else {
         return None;
     };
-    let longest = request.route.timeout * STREAM_TIMEOUTS;
+    let longest = longest_stream(request);
     let pool = node.pools.get(&entry.service)?;
     if pool.only_version(longest).is_none() {
         node.version_demand.notify_one();
--- a/crates/router/src/load/pool/versions.rs
+++ b/crates/router/src/load/pool/versions.rs
@@ -132,6 +132,15 @@
         }
     }
 
+    /// For how long all servers have had one version; `None` while there are several.
+    #[must_use]
+    pub fn only_version_age(&self) -> Option<Duration> {
+        match &self.lock().versions.seen {
+            SeenVersions::Single(single) => Some(single.age()),
+            SeenVersions::Unseen | SeenVersions::Mixed => None,
+        }
+    }
+
     /// What all servers have in common; `None` as long as none was seen.
     #[must_use]
     pub fn common_version(&self) -> Option<CommonVersion> {
