A stream's life is reckoned by every timeout under which it may have begun

The last server of a version left, a configuration lowered the route's timeout, all instances were killed, and 10 of 30 streams that nobody remembered went on at another version, answered 200 and complete.

Cause: such a stream is bound to the version that all servers have had for longer than it can have lasted, which was reckoned as two timeouts of the route as it is now (longest_ms=3000 only_ms=3201 in the log, for streams that are 6.2 s old). It may have begun under a longer one, or for a caller that allows more time than the route; and instances that all start anew know of neither.

Change: fleet::stream_lifetimes keeps the longest life by service: of the configuration in force, of those before it until their last stream has ended, also if no route leads to the service meanwhile, and by callers' deadlines up to a minute. The record of the service's version in the store has it, raised at once and lowered late. Where nobody knows (an older build's record, none, missed configurations), 30 s are assumed.

Why this works: the life is compared with the time for which one version has been alone, and both now reach back before the loss. Streams of one version go on as before, as that time is long then.

--- a/crates/router/src/fleet/mod.rs
+++ b/crates/router/src/fleet/mod.rs
@@ -20,6 +20,7 @@
 pub mod replica;
 pub mod replicas;
 pub mod replication;
+pub mod stream_lifetimes;
 pub mod stream_origins;
 pub mod transit_delay;
 pub mod version_records;
--- a/crates/router/src/fleet/version_records.rs
+++ b/crates/router/src/fleet/version_records.rs
@@ -1,5 +1,5 @@
-//! Keeps in a store since when each service has had one software version only, so that instances which all start anew
-//! know whether a stream can have begun at another one.
+//! Keeps in a store since when each service has had one software version only, and how long its streams can last, so that
+//! instances which all start anew know whether one that is still alive can have begun at another version.
 //!
 //! Several instances write the same record, and the store may carry out a write seconds after its call was given up. So
 //! each write names the change of the record that it follows, and a record names the position of the list of servers
@@ -46,6 +46,8 @@
     pub since_ms: u64,
     /// The position of the list of servers that shows it; zero in records of older builds.
     pub position: Position,
+    /// How long the streams of the service can last that may still be alive; `None` in records of older builds.
+    pub lifetime: Option<Duration>,
 }
 
 /// A record as the store has it.
@@ -95,6 +97,9 @@
         first_start,
         ..Records::default()
     };
+    if first_start {
+        node.stream_lifetimes.begin();
+    }
     let start = Instant::now();
     loop {
         let writes = start.elapsed() >= WARM_UP
@@ -227,7 +232,7 @@
                 // The list is older than what is known.
                 _ if list.position < changed => {}
                 Some((found, _)) if found.changed == changed => {}
-                Some((found, own)) => self.adopt(pool, found.clone(), &own),
+                Some((found, own)) => self.adopt_found(node, pool, found.clone(), &own),
                 None => drop(self.known.remove(service)),
             }
         }
@@ -249,7 +254,7 @@
             else {
                 continue;
             };
-            self.adopt(pool, stored, &own);
+            self.adopt_found(node, pool, stored, &own);
         }
     }
 
@@ -263,20 +268,26 @@
             return Ok(());
         };
         let known = self.known.get(pool.name());
-        if known.is_some_and(|k| k.is_ahead(&own) || k.agrees(&own)) {
+        let lifetime = node.stream_lifetimes.longest(pool.name());
+        let agrees = known.is_some_and(|k| k.agrees(&own));
+        let current = agrees && known.is_some_and(|k| k.stored.record.lifetime == Some(lifetime));
+        if current || known.is_some_and(|k| k.is_ahead(&own)) {
             return Ok(());
         }
+        let since = known.filter(|_| agrees).map(|k| k.stored.record.since_ms);
         let record = VersionRecord {
             service: pool.name().clone(),
             version: own.common.version.clone(),
-            since_ms: self.since_ms(pool, &own),
+            since_ms: since.unwrap_or_else(|| self.since_ms(pool, &own)),
             position: own.position,
+            lifetime: Some(lifetime),
         };
         let follows = known.map(|k| k.stored.changed.revision);
         let replaced = store.replace(&record, follows).await;
         log_replaced(&record, replaced.as_ref());
         match replaced? {
-            Some(stored) => self.adopt(pool, stored, &own),
+            Some(stored) if stored.record == record => self.adopt(pool, stored, &own),
+            Some(stored) => self.adopt_found(node, pool, stored, &own),
             None => drop(self.known.remove(pool.name())),
         }
         Ok(())
@@ -292,6 +303,13 @@
         if since_ever { 0 } else { changelog::now_ms() }
     }
 
+    /// Takes in a record that another instance, or an earlier one, wrote.
+    fn adopt_found(&mut self, node: &Node, pool: &Pool, found: StoredRecord, own: &Observation) {
+        node.stream_lifetimes
+            .learn(pool.name(), found.record.lifetime);
+        self.adopt(pool, found, own);
+    }
+
     /// Takes in what the store has. What was before this instance started follows from the first record that it finds.
     fn adopt(&mut self, pool: &Pool, stored: StoredRecord, own: &Observation) {
         let before = self.known.get(pool.name());
@@ -314,6 +332,7 @@
         .field("service", &record.service)
         .optional_field("version", record.version.as_ref())
         .field("since_ms", record.since_ms)
+        .optional_field("lifetime_ms", record.lifetime.map(|d| d.as_millis()))
         .field("list_revision", record.position.revision)
         .field("outcome", outcome)
         .write(log::Level::Info);
@@ -330,6 +349,7 @@
     Line::new("versions.read")
         .field("service", &record.service)
         .field("version", version)
+        .optional_field("lifetime_ms", record.lifetime.map(|d| d.as_millis()))
         .field("age_ms", age.as_millis())
         .field("outcome", if trusted { "trusted" } else { "other" })
         .write(log::Level::Info);
--- a/crates/router/src/forward/forwarder/responses.rs
+++ b/crates/router/src/forward/forwarder/responses.rs
@@ -259,8 +259,13 @@
         if let Binding::Origin(origin) = &self.binding
             && self.request.route.kind.is_retryable()
         {
+            let node = &self.context.node;
             let stream = origin::stream_id(&self.request.id);
-            self.context.node.stream_origins.record(stream, origin);
+            node.stream_origins.record(stream, origin);
+            if let Some(deadline) = self.request.deadline {
+                let left = deadline.saturating_duration_since(Instant::now());
+                node.stream_lifetimes.record_deadline(self.service, left);
+            }
         }
     }
 
--- a/crates/router/src/forward/origin.rs
+++ b/crates/router/src/forward/origin.rs
@@ -11,15 +11,13 @@
 use crate::error::{Fault, Kind};
 use crate::event::Line;
 use crate::fleet::origin::{self, Origin};
+use crate::fleet::stream_lifetimes;
 use crate::load::pool::{Pool, ServerId};
 use crate::node::Node;
 
 /// Retry delay advised to a caller whose stream can't go on at this instance.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
 
-/// Timeouts of its route that a stream lasts at most, over all attempts of its caller.
-const STREAM_TIMEOUTS: u32 = 2;
-
 /// Which servers may take a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Binding {
@@ -106,12 +104,13 @@
         }
         None => None,
     };
-    let (origin, outcome, ages) = match found {
-        Some(origin) => (Some(origin), "found", None),
-        None => {
-            let ages = Ages::new(node, request);
-            (deduce(node, request).await, "deduced", ages)
-        }
+    let ages = match &found {
+        Some(_) => None,
+        None => Ages::new(node, request),
+    };
+    let (origin, outcome) = match found {
+        Some(origin) => (Some(origin), "found"),
+        None => (deduce(node, request).await, "deduced"),
     };
     let origin = origin.filter(|origin| request.route.leads_to(&origin.service));
     let outcome = origin.as_ref().map_or("unknown", |_| outcome);
@@ -149,15 +148,17 @@
         };
         let pool = node.pools.get(&entry.service)?;
         Some(Self {
-            longest: longest_stream(request),
+            longest: longest_stream(node, request, &entry.service),
             only: pool.only_version_age().unwrap_or_default(),
         })
     }
 }
 
-/// How long the stream that a request takes up can have lasted.
-fn longest_stream(request: &Request) -> Duration {
-    request.route.timeout * STREAM_TIMEOUTS
+/// How long the stream that a request takes up can have lasted, if it began at `service`: its route may have had another
+/// timeout, another name, or none of both.
+fn longest_stream(node: &Node, request: &Request, service: &ServiceName) -> Duration {
+    let present = stream_lifetimes::of_timeout(request.route.timeout);
+    node.stream_lifetimes.longest(service).max(present)
 }
 
 /// The origin of a stream that nobody remembers, or whose caller doesn't name its first attempt: the route's only
@@ -168,7 +169,7 @@
     let [entry] = request.route.services.as_slice() else {
         return None;
     };
-    let longest = longest_stream(request);
+    let longest = longest_stream(node, request, &entry.service);
     let pool = node.pools.get(&entry.service)?;
     if pool.only_version(longest).is_none() {
         node.version_demand.notify_one();
--- a/crates/router/src/forward/route.rs
+++ b/crates/router/src/forward/route.rs
@@ -7,6 +7,7 @@
 use smol_str::SmolStr;
 
 use crate::config::object::Level;
+use crate::fleet::stream_lifetimes::{self, LifetimesByService};
 use crate::rendezvous;
 
 /// The name of a service; its backend servers form one pool.
@@ -125,6 +126,21 @@
         Self { by_host }
     }
 
+    /// How long streams of each service last at most, by the timeouts of the routes that lead there.
+    #[must_use]
+    pub fn stream_lifetimes(&self) -> LifetimesByService {
+        let mut lifetimes = LifetimesByService::new();
+        let routes = self.by_host.values().flat_map(HashMap::values);
+        for route in routes.filter(|r| r.kind.is_stream()) {
+            let lifetime = stream_lifetimes::of_timeout(route.timeout);
+            for entry in route.services.iter().filter(|s| s.weight > 0) {
+                let longest = lifetimes.entry(entry.service.clone()).or_default();
+                *longest = lifetime.max(*longest);
+            }
+        }
+        lifetimes
+    }
+
     /// Finds the route of `host` with the longest base path that `path` begins with.
     #[must_use]
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -28,7 +28,8 @@
 pub use adapters::{callers, operators, platform_http};
 pub use config::{catalogue, changelog, object};
 pub use fleet::{
-    advertisement, claims, frame, leaving_servers, link, membership, origin, stream_origins,
+    advertisement, claims, frame, leaving_servers, link, membership, origin, stream_lifetimes,
+    stream_origins,
 };
 pub use load::{
     admission_floors, demand, fleet_demand, partition, placement, pool, pools, prompt_placement,
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -20,6 +20,7 @@
 use crate::fleet::list_position::ListPosition;
 use crate::fleet::membership::{InstanceRecord, InstanceState, Membership};
 use crate::fleet::replicas::Replicas;
+use crate::fleet::stream_lifetimes::StreamLifetimes;
 use crate::fleet::stream_origins::StreamOrigins;
 use crate::load::pools::Pools;
 use crate::metrics::Metrics;
@@ -55,6 +56,8 @@
     pub version_demand: Notify,
     /// Calls to the platform that one instance makes for all; `None` if the deployment has none.
     pub duties: Option<Duties>,
+    /// How long streams can last.
+    pub stream_lifetimes: StreamLifetimes,
     /// Where recent streams began.
     pub stream_origins: StreamOrigins,
     /// Pools of backend servers.
@@ -96,6 +99,7 @@
             server_list: ListConfirmation::default(),
             list_position: ListPosition::default(),
             version_demand: Notify::new(),
+            stream_lifetimes: StreamLifetimes::default(),
             stream_origins: StreamOrigins::default(),
             backend_client: BackendClient::default(),
             requests: InFlightRequests::default(),
--- a/crates/router/tests/version_records.rs
+++ b/crates/router/tests/version_records.rs
@@ -12,11 +12,16 @@
 };
 use jackdawtally::node::Node;
 use jackdawtally::object::BackendServer;
+use jackdawtally::stream_lifetimes::LifetimesByService;
 use tokio::time;
 
 /// Time in which an instance writes what has changed.
 const WRITE_TIME: Duration = Duration::from_secs(5);
 
+/// Lifetimes of streams by two configurations.
+const LONG: Duration = Duration::from_secs(16);
+const SHORT: Duration = Duration::from_secs(3);
+
 /// A store that fails until it is told to work, and that carries out held writes late.
 #[derive(Default)]
 struct Store {
@@ -153,9 +158,16 @@
         version: Some(version.into()),
         since_ms,
         position: at(revision),
+        lifetime: None,
     }
 }
 
+/// Applies a configuration under which streams of the service last this long.
+fn configure(node: &Node, lifetime: Duration) {
+    let lifetimes = LifetimesByService::from([("s".into(), lifetime)]);
+    node.stream_lifetimes.configure(&lifetimes);
+}
+
 fn declare(node: &Node, version: &str) {
     let server = BackendServer {
         service: Some("s".into()),
@@ -362,3 +374,46 @@
 
     assert_eq!(store.revision(), Some(2));
 }
+
+/// The store didn't have how long streams could last that had begun under a configuration before the present one.
+#[tokio::test(start_paused = true)]
+async fn lifetime_is_recorded_until_the_last_stream_of_it_has_ended() {
+    let (node, store) = (common::node(), Arc::new(Store::default()));
+    store.set_works();
+    configure(&node, LONG);
+    declare_at(&node, "v1", 1);
+    start(&node, &store);
+    time::sleep(WRITE_TIME).await;
+    declare_at(&node, "v2", 2);
+    time::sleep(WRITE_TIME).await;
+    let before = store.record().expect("a record");
+
+    configure(&node, SHORT);
+    time::sleep(LONG.saturating_sub(Duration::from_millis(100))).await;
+    let meanwhile = store.record().expect("a record");
+    time::sleep(WRITE_TIME).await;
+    let after = store.record().expect("a record");
+
+    assert_eq!(before.lifetime, Some(LONG));
+    assert_eq!(meanwhile, before);
+    assert_eq!(after.lifetime, Some(SHORT));
+    // The version is the same as before.
+    assert_eq!(after.since_ms, before.since_ms);
+}
+
+/// An older build replaces a record by one without a lifetime.
+#[tokio::test(start_paused = true)]
+async fn lifetime_that_an_older_build_leaves_out_is_written_again() {
+    let (node, store) = (common::node(), Arc::new(Store::default()));
+    store.set_works();
+    configure(&node, LONG);
+    declare_at(&node, "v1", 1);
+    start(&node, &store);
+    time::sleep(WRITE_TIME).await;
+
+    store.put(&record_at("v1", 0, 1));
+    time::sleep(WRITE_TIME).await;
+
+    let record = store.record().expect("a record");
+    assert_eq!(record.lifetime, Some(LONG));
+}
