A server keeps its request until another one has taken it

A stream whose server paused for 1.5 s was closed there after 1 s and sent to the next server, which was full; the caller's connection ended without a complete response, 6.4 s before its time limit, with and without a stop of the instance.

Cause: a stalled attempt was given up before another server was even looked for, and counted, so that the refusal was the last attempt that the route allows (denied=attempts in the log). The same held for a request that later ones overtook (502), and for a stream of an instance that is cut off, whose peer has no server.

Change: forwarder/handover.rs. The current attempt goes on while a server is looked for, connected to and asked; it ends when that one has taken the request, or hasn't refused it within 200 ms, so that two servers don't work on it for long and a dead one is still left. request.handover says how it went.

Why this works: what the next server refuses was never taken from the first one.

--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -205,6 +205,11 @@
         ],
         meaning: "a caller takes up a stream that the attempt `first_attempt` began; the outcome is `found`, with the service and the version that the stream is bound to, `deduced` if nobody remembers it and all servers have had one version for longer (`only_ms`) than the stream can have lasted (`longest_ms`), or `unknown`, and the stream doesn't go on",
     },
+    EventSpec {
+        name: "request.handover",
+        fields: &["id", "target", "outcome", "version"],
+        meaning: "a request that was stalled, overtaken or cut off was sent to another server or instance; `taken` or `unanswered` (it doesn't refuse in time): that one has it now; otherwise why it doesn't take it, and the request stays where it is",
+    },
     EventSpec {
         name: "request.again",
         fields: &[
--- a/crates/router/src/forward/attempt.rs
+++ b/crates/router/src/forward/attempt.rs
@@ -110,6 +110,22 @@
     }
 }
 
+/// Makes sure that there is a connection to the permit's backend server.
+///
+/// # Errors
+/// `NotSent` if none can be opened, which is recorded for the server.
+pub async fn connect(connections: &ConnectionPool, permit: &Permit) -> Result<(), Failure> {
+    let connected = connections.prepare(permit.declared.address).await;
+    connected.map_err(|error| record_unsent(permit, &error))
+}
+
+fn record_unsent(permit: &Permit, error: &connection_pool::Error) -> Failure {
+    log::debug!("server={} {error}", permit.declared.name);
+    permit.record_connect_failure();
+    permit.record_failure(false);
+    Failure::NotSent
+}
+
 /// Sends `request` to the permit's backend server and waits for the head of the response. A load report in
 /// the response, and a failed connection, are recorded for the server.
 ///
@@ -131,10 +147,7 @@
     {
         Ok(response) => response,
         Err(error @ connection_pool::Error::NotSent(_)) => {
-            log::debug!("server={} {error}", permit.declared.name);
-            permit.record_connect_failure();
-            permit.record_failure(false);
-            return Err(Failure::NotSent);
+            return Err(record_unsent(permit, &error));
         }
         Err(error @ connection_pool::Error::NoAnswer(_)) => {
             log::debug!("server={} {error}", permit.declared.name);
--- a/crates/router/src/forward/connection_pool.rs
+++ b/crates/router/src/forward/connection_pool.rs
@@ -52,6 +52,15 @@
     since: Instant,
 }
 
+impl Idle {
+    /// Whether it may be reused within this fraction of the server's idle timeout.
+    fn is_fresh(&self, fraction: f64, now: Instant) -> bool {
+        let age = now.saturating_duration_since(self.since);
+        let timeout = self.connection.idle_timeout;
+        self.connection.sender.is_ready() && age < timeout.mul_f64(fraction)
+    }
+}
+
 #[derive(Debug)]
 struct Connection {
     address: SocketAddr,
@@ -175,6 +184,18 @@
         }
     }
 
+    /// Opens a connection for the next request that can be retried, unless there is one that may be reused.
+    ///
+    /// # Errors
+    /// Returns `NotSent` if none can be opened.
+    pub async fn prepare(&self, address: SocketAddr) -> Result<(), Error> {
+        if !self.has_idle(address) {
+            let connection = self.connect(address).await?;
+            self.put_idle(connection);
+        }
+        Ok(())
+    }
+
     /// Opens a connection, and keeps it for a request.
     pub async fn probe(&self, address: SocketAddr) -> Reachability {
         match time::timeout(PROBE_TIMEOUT, open(address)).await {
@@ -246,14 +267,18 @@
         let mut all = self.lock();
         let idle = all.get_mut(&address)?;
         remove_expired(idle, now);
-        let fresh = |i: &Idle| {
-            let age = now.saturating_duration_since(i.since);
-            i.connection.sender.is_ready() && age < i.connection.idle_timeout.mul_f64(fraction)
-        };
-        let position = idle.iter().rposition(fresh)?;
+        let position = idle.iter().rposition(|i| i.is_fresh(fraction, now))?;
         Some(idle.remove(position).connection)
     }
 
+    /// Whether there is an idle connection to `address` on which a request that can be retried may be sent.
+    fn has_idle(&self, address: SocketAddr) -> bool {
+        let now = Instant::now();
+        let all = self.lock();
+        let idle = all.get(&address);
+        idle.is_some_and(|idle| idle.iter().any(|i| i.is_fresh(REUSE_FRACTION, now)))
+    }
+
     fn put_idle(&self, connection: Connection) {
         let now = Instant::now();
         let mut all = self.lock();
--- a/crates/router/src/forward/forwarder.rs
+++ b/crates/router/src/forward/forwarder.rs
@@ -2,6 +2,7 @@
 //! retries as far as the route and the retry budget allow.
 
 use std::collections::HashMap;
+use std::pin::Pin;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -11,7 +12,7 @@
 use super::access_log::{AccessLog, Outcome};
 use super::attempt::{self, Failure};
 use super::backend_protocol::BackendProtocol;
-use super::connection_pool::ConnectionPool;
+use super::connection_pool::{BackendResponse, ConnectionPool};
 use super::crash;
 use super::fingerprint::Fingerprints;
 use super::origin::Binding;
@@ -37,10 +38,12 @@
 /// Retry delay advised to callers whose request no backend server could take.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
 
+mod handover;
 mod peers;
 mod responses;
 mod retries;
 
+use handover::Handover;
 use responses::BufferedResponse;
 
 /// State shared by all requests of one instance.
@@ -100,11 +103,29 @@
     Peer(InstanceRecord),
 }
 
+/// The head of a server's response, which is being waited for. Dropping it closes the connection.
+type ServerResponse<'a> =
+    Pin<Box<dyn Future<Output = Result<BackendResponse, Failure>> + Send + 'a>>;
+
+/// An attempt that has begun while another one was still running.
+enum NextAttempt<'a> {
+    Server {
+        permit: Arc<Permit>,
+        response: ServerResponse<'a>,
+    },
+    Peer {
+        peer: InstanceId,
+        response: Box<BackendResponse>,
+    },
+}
+
 /// Result of one attempt.
-enum AttemptResult {
+enum AttemptResult<'a> {
     /// The complete response, with this status, was sent to the caller.
     Done(StatusCode),
     Failed(Failure),
+    /// It was stalled or cut off, and given up for another one, which has taken the request.
+    Moved(NextAttempt<'a>),
 }
 
 /// Forwards one request to the backend servers of one service.
@@ -236,14 +257,21 @@
     async fn run_attempts(&mut self) -> Result<StatusCode, ForwardError> {
         self.check_room().map_err(ForwardError::Fault)?;
         let mut unsent = 0;
+        let mut next = None;
         loop {
-            let result = match self.next_target().await? {
-                Target::Server(permit) => self.run_at_server(permit).await?,
-                Target::Peer(peer) => self.run_at_peer(&peer).await?,
+            let result = match next.take() {
+                Some(next) => self.run_next(next).await?,
+                None => self.run_attempt().await?,
             };
             let failure = match result {
                 AttemptResult::Done(status) => return Ok(status),
                 AttemptResult::Failed(failure) => failure,
+                AttemptResult::Moved(to) => {
+                    self.attempts += 1;
+                    self.log.fail_attempt(Failure::Stalled, None);
+                    next = Some(to);
+                    continue;
+                }
             };
             if failure.is_unsent() {
                 unsent += 1;
@@ -297,14 +325,39 @@
         }
     }
 
-    async fn run_at_server(&mut self, permit: Permit) -> Result<AttemptResult, ForwardError> {
-        self.log.start_attempt(&permit);
-        let result = self.run_attempt(&permit).await?;
-        if let AttemptResult::Failed(failure) = &result {
-            if matches!(failure, Failure::NoAnswer | Failure::Broken) {
-                self.record_loss(&permit);
+    async fn run_attempt(&mut self) -> Result<AttemptResult<'a>, ForwardError> {
+        match self.next_target().await? {
+            Target::Server(permit) => {
+                let permit = Arc::new(permit);
+                let response = self.send(&permit);
+                self.run_at_server(&permit, response).await
+            }
+            Target::Peer(peer) => self.run_at_peer(&peer).await,
+        }
+    }
+
+    /// Goes on with an attempt that has already begun.
+    async fn run_next(&mut self, next: NextAttempt<'a>) -> Result<AttemptResult<'a>, ForwardError> {
+        match next {
+            NextAttempt::Server { permit, response } => self.run_at_server(&permit, response).await,
+            NextAttempt::Peer { peer, response } => {
+                self.log.start_forwarding(&peer);
+                self.forward_response(None, *response).await
             }
-            self.admission.avoid.push(permit.server);
+        }
+    }
+
+    async fn run_at_server(
+        &mut self,
+        permit: &Permit,
+        response: ServerResponse<'a>,
+    ) -> Result<AttemptResult<'a>, ForwardError> {
+        self.log.start_attempt(permit);
+        let result = self.receive(permit, response).await?;
+        match &result {
+            AttemptResult::Done(_) => {}
+            AttemptResult::Failed(failure) => self.record_failed(permit, *failure),
+            AttemptResult::Moved(_) => self.admission.avoid.push(permit.server),
         }
         Ok(result)
     }
@@ -354,36 +407,62 @@
         }
     }
 
-    async fn run_attempt(&mut self, permit: &Permit) -> Result<AttemptResult, ForwardError> {
-        let context = self.context;
-        let sent = attempt::send(
-            &context.node,
-            &context.connections,
-            &context.protocol,
-            self.request,
-            permit,
-            self.resume_after,
-        );
+    /// Sends the request to the server of `permit`, as soon as the response is waited for.
+    fn send(&self, permit: &Arc<Permit>) -> ServerResponse<'a> {
+        let (context, request) = (self.context, self.request);
+        let (permit, resume_after) = (Arc::clone(permit), self.resume_after);
+        Box::pin(async move {
+            attempt::send(
+                &context.node,
+                &context.connections,
+                &context.protocol,
+                request,
+                &permit,
+                resume_after,
+            )
+            .await
+        })
+    }
+
+    /// Waits for the response of the server of `permit`, and passes it on.
+    async fn receive(
+        &mut self,
+        permit: &Permit,
+        mut response: ServerResponse<'a>,
+    ) -> Result<AttemptResult<'a>, ForwardError> {
         // Until a response proves otherwise, a request that is being sent may run.
         let ran_before = std::mem::replace(&mut self.may_have_run, true);
-        let response = tokio::select! {
-            response = sent => response,
-            () = self.wait_overtaken(permit) => Err(Failure::Stalled),
-            () = self.wait_cut(permit) => Err(Failure::Stalled),
+        let response = loop {
+            tokio::select! {
+                response = &mut response => break response,
+                target = self.wait_move(Some(permit), false) => {
+                    match self.hand_over(response, target).await {
+                        Handover::Kept(kept) => response = kept,
+                        Handover::Moved(next) => return Ok(AttemptResult::Moved(next)),
+                    }
+                }
+            }
         };
         if matches!(&response, Err(failure) if failure.is_certainly_not_run()) {
             self.may_have_run = ran_before;
         }
         match response {
-            Ok(response)
-                if self.request.route.kind.is_stream() && response.head.status.is_success() =>
-            {
-                self.forward_stream(Some(permit), response).await
-            }
-            Ok(response) => self.forward_buffered(Some(permit), response).await,
+            Ok(response) => self.forward_response(Some(permit), response).await,
             Err(failure) => Ok(AttemptResult::Failed(failure)),
         }
     }
+
+    async fn forward_response(
+        &mut self,
+        permit: Option<&Permit>,
+        response: BackendResponse,
+    ) -> Result<AttemptResult<'a>, ForwardError> {
+        if self.request.route.kind.is_stream() && response.head.status.is_success() {
+            self.forward_stream(permit, response).await
+        } else {
+            self.forward_buffered(permit, response).await
+        }
+    }
 }
 
 /// Why a request ends with the process. It may have run, unless no attempt was made.
--- a/crates/router/src/forward/forwarder/peers.rs
+++ b/crates/router/src/forward/forwarder/peers.rs
@@ -6,11 +6,12 @@
 use crate::fleet::membership::InstanceRecord;
 use crate::forward::attempt::Failure;
 use crate::forward::backend_protocol::BackendProtocol;
-use crate::forward::peer;
+use crate::forward::connection_pool::BackendResponse;
+use crate::forward::peer::{self, PeerFailure};
 use crate::forward::request::ForwardedBy;
 use crate::load::pool::Permit;
 
-impl<P: BackendProtocol> Forwarder<'_, '_, P> {
+impl<'a, P: BackendProtocol> Forwarder<'a, '_, P> {
     /// The instance that the request is passed on to; `None` if this instance may send to the servers itself, or no
     /// other one can help.
     pub(super) fn next_peer(&self) -> Option<InstanceRecord> {
@@ -63,37 +64,33 @@
         }
     }
 
-    /// Completes when a request that is open at a server should be abandoned for an attempt at another instance: this
-    /// one is cut off, also from that server, and the retry budget was charged.
-    pub(super) async fn wait_cut(&self, permit: &Permit) {
-        if !self.may_move(permit) {
-            return std::future::pending().await;
-        }
+    /// Waits for an instance to which a request that is open at a server should be moved: this one is cut off, also from
+    /// that server, and the retry budget was charged.
+    pub(super) async fn wait_cut(&self, permit: &Permit) -> InstanceRecord {
         loop {
-            self.wait_for_peer().await;
+            let peer = self.wait_for_peer().await;
             let silent = self.context.connections.signs().is_silent(Instant::now());
-            if silent && self.spend_retry() {
-                return;
+            if self.may_move(permit) && silent && self.spend_retry() {
+                return peer;
             }
             time::sleep(RECHECK_INTERVAL).await;
         }
     }
 
-    /// Passes the request on to another instance. One that can't be reached or refuses is followed by the next.
-    pub(super) async fn run_at_peer(
+    /// Sends the request to another instance, after this number of `attempts`, and waits for the head of the response.
+    pub(super) async fn send_to_peer(
         &mut self,
         peer: &InstanceRecord,
-    ) -> Result<AttemptResult, ForwardError> {
+        attempts: u32,
+    ) -> Result<BackendResponse, PeerFailure> {
         let context = self.context;
         self.tried_peers.push(peer.id.clone());
-        self.log.start_forwarding(&peer.id);
         context.node.metrics.count("peer.sent");
         let forwarded_by = ForwardedBy {
             instance: context.node.settings.instance.clone(),
-            attempts: self.attempts,
+            attempts,
             config: Some(self.request.config),
         };
-        let ran_before = std::mem::replace(&mut self.may_have_run, true);
         let response = peer::send(
             &context.peers,
             &context.protocol,
@@ -102,30 +99,37 @@
             forwarded_by,
             self.resume_after,
         );
-        match response.await {
-            Ok(response)
-                if self.request.route.kind.is_stream() && response.head.status.is_success() =>
-            {
-                self.forward_stream(None, response).await
+        let response = response.await;
+        if let Err(error) = &response {
+            context.node.metrics.count("peer.failed");
+            if error.failure == Failure::Outdated {
+                context.node.metrics.count("peer.outdated");
+                self.outdated_peers.push(peer.id.clone());
             }
-            Ok(response) => self.forward_buffered(None, response).await,
-            Err(error) => {
-                if error.failure.is_certainly_not_run() {
-                    self.may_have_run = ran_before;
-                }
-                context.node.metrics.count("peer.failed");
-                if error.failure == Failure::Outdated {
-                    context.node.metrics.count("peer.outdated");
-                    self.outdated_peers.push(peer.id.clone());
-                }
-                let goes_on = || self.next_peer().is_some() || self.may_try();
-                match error.refusal {
-                    Some(refusal) if !refusal.elsewhere || !goes_on() => {
-                        Err(ForwardError::Fault(refusal.fault()))
-                    }
-                    _ => Ok(AttemptResult::Failed(error.failure)),
-                }
+        }
+        response
+    }
+
+    /// Passes the request on to another instance. One that can't be reached or refuses is followed by the next.
+    pub(super) async fn run_at_peer(
+        &mut self,
+        peer: &InstanceRecord,
+    ) -> Result<AttemptResult<'a>, ForwardError> {
+        self.log.start_forwarding(&peer.id);
+        let ran_before = std::mem::replace(&mut self.may_have_run, true);
+        let error = match self.send_to_peer(peer, self.attempts).await {
+            Ok(response) => return self.forward_response(None, response).await,
+            Err(error) => error,
+        };
+        if error.failure.is_certainly_not_run() {
+            self.may_have_run = ran_before;
+        }
+        let goes_on = || self.next_peer().is_some() || self.may_try();
+        match error.refusal {
+            Some(refusal) if !refusal.elsewhere || !goes_on() => {
+                Err(ForwardError::Fault(refusal.fault()))
             }
+            _ => Ok(AttemptResult::Failed(error.failure)),
         }
     }
 }
--- a/crates/router/src/forward/forwarder/responses.rs
+++ b/crates/router/src/forward/forwarder/responses.rs
@@ -5,7 +5,7 @@
 use http::{HeaderMap, HeaderValue, StatusCode, response};
 use tokio::time::Instant;
 
-use super::{AttemptResult, BEGUN_BATCHES, ForwardError, Forwarder};
+use super::{AttemptResult, BEGUN_BATCHES, ForwardError, Forwarder, Handover};
 use crate::error::{Fault, Kind};
 use crate::fleet::origin;
 use crate::forward::attempt::Failure;
@@ -55,14 +55,14 @@
     }
 }
 
-impl<P: BackendProtocol> Forwarder<'_, '_, P> {
+impl<'a, P: BackendProtocol> Forwarder<'a, '_, P> {
     /// Receives a response completely, so that it can still be replaced by that of a retry, and sends it to
     /// the caller.
     pub(super) async fn forward_buffered(
         &mut self,
         permit: Option<&Permit>,
         mut response: BackendResponse,
-    ) -> Result<AttemptResult, ForwardError> {
+    ) -> Result<AttemptResult<'a>, ForwardError> {
         let status = response.head.status;
         if !self.response.is_unsent() {
             return Ok(AttemptResult::Failed(Failure::Failed));
@@ -123,7 +123,7 @@
         permit: Option<&Permit>,
         mut response: BackendResponse,
         received: &[u8],
-    ) -> Result<AttemptResult, ForwardError> {
+    ) -> Result<AttemptResult<'a>, ForwardError> {
         let status = response.head.status;
         if let Some(permit) = permit {
             permit.mark_started();
@@ -164,10 +164,9 @@
         &mut self,
         permit: Option<&Permit>,
         mut response: BackendResponse,
-    ) -> Result<AttemptResult, ForwardError> {
+    ) -> Result<AttemptResult<'a>, ForwardError> {
         let status = response.head.status;
-        let begun = self.resume_after.is_some() || !self.response.is_unsent();
-        if begun && !is_event_stream(&response.head) {
+        if !self.fits(&response.head) {
             return Ok(AttemptResult::Failed(Failure::Failed));
         }
         let mut splitter = EventSplitter::new(match self.request.route.kind {
@@ -178,8 +177,12 @@
         loop {
             let next = tokio::select! {
                 next = response.next_chunk() => next,
-                () = self.wait_stalled(permit, progress.batches > 0) => {
-                    return Ok(AttemptResult::Failed(Failure::Stalled));
+                target = self.wait_move(permit, progress.batches > 0) => {
+                    match self.hand_over(response, target).await {
+                        Handover::Kept(kept) => response = kept,
+                        Handover::Moved(next) => return Ok(AttemptResult::Moved(next)),
+                    }
+                    continue;
                 }
             };
             let bytes = match next {
@@ -217,6 +220,12 @@
         Ok(AttemptResult::Done(status))
     }
 
+    /// Whether a response with this head can be the rest of the stream, if it has begun.
+    pub(super) fn fits(&self, head: &response::Parts) -> bool {
+        let begun = self.resume_after.is_some() || !self.response.is_unsent();
+        !begun || is_event_stream(head)
+    }
+
     /// Counts the request once a server has begun it. One that was passed on is counted by the instance that sends it.
     fn record_begun(&mut self, permit: Option<&Permit>) {
         if permit.is_none() || std::mem::replace(&mut self.begun, true) {
--- a/crates/router/src/forward/forwarder/retries.rs
+++ b/crates/router/src/forward/forwarder/retries.rs
@@ -1,10 +1,8 @@
-//! Decides whether and when a request is tried again at another backend server.
+//! Decides whether a request is tried again at another backend server.
 
-use std::time::Duration;
+use tokio::time::Instant;
 
-use tokio::time::{self, Instant};
-
-use super::{Forwarder, RECHECK_INTERVAL};
+use super::Forwarder;
 use crate::forward::attempt::{Denial, Failure};
 use crate::forward::backend_protocol::BackendProtocol;
 use crate::load::budget;
@@ -12,10 +10,6 @@
 
 /// Limit on attempts that fail before a byte is sent. They don't count as attempts of the route.
 const MAX_UNSENT_ATTEMPTS: u32 = 4;
-/// A stream counts as stalled after a pause of this many times the route's gap target.
-const STALL_GAP_FACTOR: u32 = 3;
-/// Shortest pause that counts as a stall, whatever the gap target.
-const MIN_STALL: Duration = Duration::from_secs(1);
 
 impl<P: BackendProtocol> Forwarder<'_, '_, P> {
     /// Prepares a retry after `failure`: charges the retry budget where that is due. `unsent` is the number of attempts
@@ -31,8 +25,8 @@
             self.context.node.metrics.count("stream.no_version");
             return Err(Denial::Version);
         }
-        // The budget was already charged, when the attempt was abandoned or before it went to the other instance.
-        let paid = matches!(failure, Failure::Stalled | Failure::Outdated);
+        // The budget was charged before the request went to the other instance.
+        let paid = failure == Failure::Outdated;
         let max_attempts = self.request.route.max_attempts;
         match self.request.route.kind {
             _ if paid || (failure.is_unsent() && self.attempts == 0) => Ok(()),
@@ -43,51 +37,15 @@
         }
     }
 
-    /// Whether the current attempt may be abandoned for one at another server, however it ends.
+    /// Whether the request may be moved from its current server to another one, if that one takes it.
     pub(super) fn may_move(&self, permit: &Permit) -> bool {
-        let route = &self.request.route;
-        let left = route.kind.is_retryable() && self.attempts + 1 < route.max_attempts;
-        left && self.binding.is_served_by(&self.pool, Some(permit.server))
+        self.has_attempt_left() && self.binding.is_served_by(&self.pool, Some(permit.server))
     }
 
-    /// Completes when the attempt should be abandoned in favour of a retry: the latency target has passed,
-    /// the server has started later requests first, and the retry budget was charged. A server that is merely
-    /// slow keeps its requests, as retrying them would add to the load.
-    pub(super) async fn wait_overtaken(&self, permit: &Permit) {
-        if !self.may_move(permit) {
-            return std::future::pending().await;
-        }
-        time::sleep(self.request.route.latency_target).await;
-        while !(permit.overtaken() && self.spend_retry()) {
-            time::sleep(RECHECK_INTERVAL).await;
-        }
-    }
-
-    /// Completes when a stream should be abandoned in favour of a retry: it has paused for too long, or this
-    /// instance is cut off, and the retry budget was charged. Before the first event, the pause is judged as in
-    /// `wait_overtaken`. Never completes for a stream of another instance, which watches it.
-    pub(super) async fn wait_stalled(&self, permit: Option<&Permit>, started: bool) {
-        let Some(permit) = permit else {
-            return std::future::pending().await;
-        };
-        tokio::select! {
-            () = self.wait_paused(permit, started) => {}
-            () = self.wait_cut(permit) => {}
-        }
-    }
-
-    async fn wait_paused(&self, permit: &Permit, started: bool) {
-        if !started {
-            return self.wait_overtaken(permit).await;
-        }
-        if !self.may_move(permit) {
-            return std::future::pending().await;
-        }
-        let gap = self.request.route.gap_target.unwrap_or_default() * STALL_GAP_FACTOR;
-        time::sleep(gap.max(MIN_STALL)).await;
-        while !self.spend_retry() {
-            time::sleep(RECHECK_INTERVAL).await;
-        }
+    /// Whether the route allows another attempt after the current one, however it ends.
+    pub(super) fn has_attempt_left(&self) -> bool {
+        let route = &self.request.route;
+        route.kind.is_retryable() && self.attempts + 1 < route.max_attempts
     }
 
     /// Charges the service's retry budget; returns whether it covers another retry.
