A status outside of 200 to 599 is no response

What callers saw: a server's status of 101, 600 or 999 was passed on to them, with the server's stamp (MIXED). 000, 001 and 099 weren't: they aren't parsed.

Cause: statuses that no rule names counted as answers.

Change: ConnectionPool::send rejects them for servers, peers and the store alike; the request may have run.

--- a/crates/router/src/forward/connection_pool.rs
+++ b/crates/router/src/forward/connection_pool.rs
@@ -4,12 +4,13 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use http::header::HeaderValue;
-use http::{HeaderMap, Request, Response, response};
+use http::{HeaderMap, Request, Response, StatusCode, response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -32,6 +33,8 @@
 /// The same for a request that can't be retried. It is smaller, as the request may have run if the server
 /// closes the connection just as it is sent.
 const REUSE_FRACTION_NON_RETRYABLE: f64 = 0.4;
+/// Statuses of a response that ends a request.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
 /// Time without acknowledgement of sent data after which the connection is closed (`TCP_USER_TIMEOUT`).
 const USER_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -166,6 +169,7 @@
             match connection.sender.try_send_request(request).await {
                 Ok(response) => {
                     self.record_contact();
+                    check_status(response.status())?;
                     return Ok(wrap(connection, response, awaited));
                 }
                 Err(mut error) => match error.take_message() {
@@ -318,6 +322,17 @@
     seconds.map_or(DEFAULT_IDLE_TIMEOUT, Duration::from_secs)
 }
 
+/// Rejects a status that isn't in the protocol, or doesn't answer a request of this client.
+///
+/// # Errors
+/// `NoAnswer` for such a status.
+fn check_status(status: StatusCode) -> Result<(), Error> {
+    if FINAL_STATUSES.contains(&status.as_u16()) {
+        return Ok(());
+    }
+    Err(Error::NoAnswer(format!("invalid status {status}")))
+}
+
 fn wrap(
     mut connection: Connection,
     response: Response<Incoming>,
