Lifetimes are bounded; a missing retry budget avoids no server

Cause: found when reading the diff. A record or a configuration with a lifetime beyond all measure would have overflowed an instant; a server that was found while the retry budget was used up counted as one to avoid.

Change: lifetimes count up to an hour; only a server that can't be connected to is avoided.

--- a/crates/router/src/fleet/stream_lifetimes.rs
+++ b/crates/router/src/fleet/stream_lifetimes.rs
@@ -14,6 +14,8 @@
 const UNKNOWN_LIFETIME: Duration = Duration::from_secs(30);
 /// Longest deadline of a caller that is taken into account.
 const MAX_DEADLINE: Duration = Duration::from_mins(1);
+/// Longest lifetime that is taken into account, whatever a configuration or a record says.
+const MAX_LIFETIME: Duration = Duration::from_hours(1);
 
 /// The longest lifetime of the streams of each service.
 pub type LifetimesByService = HashMap<SmolStr, Duration>;
@@ -22,7 +24,7 @@
 /// no later deadline.
 #[must_use]
 pub fn of_timeout(timeout: Duration) -> Duration {
-    timeout.saturating_mul(STREAM_TIMEOUTS)
+    timeout.saturating_mul(STREAM_TIMEOUTS).min(MAX_LIFETIME)
 }
 
 /// A lifetime that streams had which began until some time ago.
@@ -150,7 +152,7 @@
         let first_start = state.first_start;
         let known = state.services.entry(service.clone()).or_default();
         match recorded {
-            Some(lifetime) => known.add_past(lifetime, now),
+            Some(lifetime) => known.add_past(lifetime.min(MAX_LIFETIME), now),
             None if known.complete || first_start => {}
             None => known.add_past(UNKNOWN_LIFETIME, now),
         }
--- a/crates/router/src/forward/forwarder/handover.rs
+++ b/crates/router/src/forward/forwarder/handover.rs
@@ -64,9 +64,9 @@
                 time::sleep(RECHECK_INTERVAL).await;
             }
             match self.acquire_other(current, &avoid).await {
-                Some(permit) if self.connect(&permit).await && self.spend_retry() => return permit,
-                Some(permit) => avoid.push(permit.server),
-                None => {}
+                Some(permit) if !self.connect(&permit).await => avoid.push(permit.server),
+                Some(permit) if self.spend_retry() => return permit,
+                Some(_) | None => {}
             }
             time::sleep(SEARCH_INTERVAL).await;
         }
--- a/crates/router/tests/stream_lifetimes.rs
+++ b/crates/router/tests/stream_lifetimes.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use jackdawtally::stream_lifetimes::{LifetimesByService, StreamLifetimes};
+use jackdawtally::stream_lifetimes::{self, LifetimesByService, StreamLifetimes};
 use quickcheck::quickcheck;
 use tokio::time;
 
@@ -106,6 +106,17 @@
     }
 }
 
+#[tokio::test(start_paused = true)]
+async fn times_beyond_all_measure_count_as_an_hour() {
+    let hour = Duration::from_hours(1);
+    let lifetimes = first();
+
+    lifetimes.learn(&"s".into(), Some(Duration::MAX));
+
+    assert_eq!(lifetimes.longest("s"), hour);
+    assert_eq!(stream_lifetimes::of_timeout(Duration::MAX), hour);
+}
+
 quickcheck! {
     /// After any series of configurations the longest lifetime is that of a list of all of them.
     fn longest_lifetime_agrees_with_a_list_of_all(series: Vec<(u8, u8)>) -> bool {
