A stream's life is that of its own path, not of its service's longest route

Cause: the record in the store had one lifetime for all routes of a service.

Change: lifetimes by path. A configuration adds what it lowers for a path, and the record has that and a digest of the service's routes, by which instances that all start anew see whether the configuration changed while none ran.

--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -66,8 +66,15 @@
     },
     EventSpec {
         name: "versions.read",
-        fields: &["service", "version", "lifetime_ms", "age_ms", "outcome"],
-        meaning: "the store has a record since when all servers of the service have had one version, and how long its streams can last (`lifetime_ms`; not in records of older builds); the outcome is `trusted`, or `other` if this instance has seen another one",
+        fields: &[
+            "service",
+            "version",
+            "lifetime_ms",
+            "past_ms",
+            "age_ms",
+            "outcome",
+        ],
+        meaning: "the store has a record since when all servers of the service have had one version, and how long its streams can last (`lifetime_ms`; `past_ms` beyond what the configuration says of their routes; not in records of older builds); the outcome is `trusted`, or `other` if this instance has seen another one",
     },
     EventSpec {
         name: "versions.recorded",
@@ -76,10 +83,11 @@
             "version",
             "since_ms",
             "lifetime_ms",
+            "past_ms",
             "list_revision",
             "outcome",
         ],
-        meaning: "this instance writes since when all servers of the service have had one version, or that they have several (no `version`), and how long its streams can last (`lifetime_ms`); the outcome is `written`, `other` if the store has one that this instance didn't know, `gone` if the one to replace is gone, or `failed` if the store rejects it or sends no response, and may write it later; `list_revision` is that of the list of servers on which it is based",
+        meaning: "this instance writes since when all servers of the service have had one version, or that they have several (no `version`), and how long its streams can last (`lifetime_ms`; `past_ms` beyond what the configuration says of their routes); the outcome is `written`, `other` if the store has one that this instance didn't know, `gone` if the one to replace is gone, or `failed` if the store rejects it or sends no response, and may write it later; `list_revision` is that of the list of servers on which it is based",
     },
     EventSpec {
         name: "config.taken",
--- a/crates/router/src/fleet/version_records.rs
+++ b/crates/router/src/fleet/version_records.rs
@@ -18,6 +18,7 @@
 use crate::event::Line;
 use crate::fleet::links::{self, StoreRole};
 use crate::fleet::replica::{Position, Revision};
+use crate::fleet::stream_lifetimes::RecordedLifetimes;
 use crate::load::pool::{CommonVersion, Pool};
 use crate::node::Node;
 
@@ -46,8 +47,8 @@
     pub since_ms: u64,
     /// The position of the list of servers that shows it; zero in records of older builds.
     pub position: Position,
-    /// How long the streams of the service can last that may still be alive; `None` in records of older builds.
-    pub lifetime: Option<Duration>,
+    /// How long the streams of the service can last; `None` in records of older builds.
+    pub lifetimes: Option<RecordedLifetimes>,
 }
 
 /// A record as the store has it.
@@ -268,10 +269,14 @@
             return Ok(());
         };
         let known = self.known.get(pool.name());
-        let lifetime = node.stream_lifetimes.longest(pool.name());
+        let recorded = known.and_then(|k| k.stored.record.lifetimes);
+        let lifetimes = node.stream_lifetimes.to_record(pool.name());
+        let covered = match (&recorded, &lifetimes) {
+            (_, None) => true,
+            (recorded, Some(own)) => recorded.is_some_and(|r| r.covers(own)),
+        };
         let agrees = known.is_some_and(|k| k.agrees(&own));
-        let current = agrees && known.is_some_and(|k| k.stored.record.lifetime == Some(lifetime));
-        if current || known.is_some_and(|k| k.is_ahead(&own)) {
+        if (agrees && covered) || known.is_some_and(|k| k.is_ahead(&own)) {
             return Ok(());
         }
         let since = known.filter(|_| agrees).map(|k| k.stored.record.since_ms);
@@ -280,7 +285,7 @@
             version: own.common.version.clone(),
             since_ms: since.unwrap_or_else(|| self.since_ms(pool, &own)),
             position: own.position,
-            lifetime: Some(lifetime),
+            lifetimes: if covered { recorded } else { lifetimes },
         };
         let follows = known.map(|k| k.stored.changed.revision);
         let replaced = store.replace(&record, follows).await;
@@ -306,7 +311,7 @@
     /// Takes in a record that another instance, or an earlier one, wrote.
     fn adopt_found(&mut self, node: &Node, pool: &Pool, found: StoredRecord, own: &Observation) {
         node.stream_lifetimes
-            .learn(pool.name(), found.record.lifetime);
+            .learn(pool.name(), found.record.lifetimes.as_ref());
         self.adopt(pool, found, own);
     }
 
@@ -332,7 +337,11 @@
         .field("service", &record.service)
         .optional_field("version", record.version.as_ref())
         .field("since_ms", record.since_ms)
-        .optional_field("lifetime_ms", record.lifetime.map(|d| d.as_millis()))
+        .optional_field(
+            "lifetime_ms",
+            record.lifetimes.map(|l| l.longest().as_millis()),
+        )
+        .optional_field("past_ms", record.lifetimes.map(|l| l.past.as_millis()))
         .field("list_revision", record.position.revision)
         .field("outcome", outcome)
         .write(log::Level::Info);
@@ -349,7 +358,11 @@
     Line::new("versions.read")
         .field("service", &record.service)
         .field("version", version)
-        .optional_field("lifetime_ms", record.lifetime.map(|d| d.as_millis()))
+        .optional_field(
+            "lifetime_ms",
+            record.lifetimes.map(|l| l.longest().as_millis()),
+        )
+        .optional_field("past_ms", record.lifetimes.map(|l| l.past.as_millis()))
         .field("age_ms", age.as_millis())
         .field("outcome", if trusted { "trusted" } else { "other" })
         .write(log::Level::Info);
--- a/crates/router/src/forward/forwarder/responses.rs
+++ b/crates/router/src/forward/forwarder/responses.rs
@@ -7,7 +7,7 @@
 
 use super::{AttemptResult, BEGUN_BATCHES, ForwardError, Forwarder, Handover};
 use crate::error::{Fault, Kind};
-use crate::fleet::origin;
+use crate::fleet::{origin, stream_lifetimes};
 use crate::forward::attempt::Failure;
 use crate::forward::backend_protocol::BackendProtocol;
 use crate::forward::connection_pool::BackendResponse;
@@ -273,7 +273,9 @@
             node.stream_origins.record(stream, origin);
             if let Some(deadline) = self.request.deadline {
                 let left = deadline.saturating_duration_since(Instant::now());
-                node.stream_lifetimes.record_deadline(self.service, left);
+                let configured = stream_lifetimes::of_timeout(self.request.route.timeout);
+                node.stream_lifetimes
+                    .record_deadline(self.service, left, configured);
             }
         }
     }
--- a/crates/router/src/forward/origin.rs
+++ b/crates/router/src/forward/origin.rs
@@ -158,7 +158,7 @@
 /// timeout, another name, or none of both.
 fn longest_stream(node: &Node, request: &Request, service: &ServiceName) -> Duration {
     let present = stream_lifetimes::of_timeout(request.route.timeout);
-    node.stream_lifetimes.longest(service).max(present)
+    node.stream_lifetimes.past(service).max(present)
 }
 
 /// The origin of a stream that nobody remembers, or whose caller doesn't name its first attempt: the route's only
--- a/crates/router/src/forward/route.rs
+++ b/crates/router/src/forward/route.rs
@@ -7,7 +7,7 @@
 use smol_str::SmolStr;
 
 use crate::config::object::Level;
-use crate::fleet::stream_lifetimes::{self, LifetimesByService};
+use crate::fleet::stream_lifetimes::{self, LifetimesByService, StreamsByService};
 use crate::rendezvous;
 
 /// The name of a service; its backend servers form one pool.
@@ -126,19 +126,58 @@
         Self { by_host }
     }
 
-    /// How long streams of each service last at most, by the timeouts of the routes that lead there.
+    /// The streams of each service.
     #[must_use]
-    pub fn stream_lifetimes(&self) -> LifetimesByService {
-        let mut lifetimes = LifetimesByService::new();
-        let routes = self.by_host.values().flat_map(HashMap::values);
-        for route in routes.filter(|r| r.kind.is_stream()) {
+    pub fn streams(&self) -> StreamsByService {
+        let mut streams = StreamsByService::new();
+        for route in self.stream_routes() {
             let lifetime = stream_lifetimes::of_timeout(route.timeout);
+            let key = format!(
+                "{} {} {}",
+                route.host,
+                route.base_path,
+                lifetime.as_millis()
+            );
             for entry in route.services.iter().filter(|s| s.weight > 0) {
-                let longest = lifetimes.entry(entry.service.clone()).or_default();
-                *longest = lifetime.max(*longest);
+                let of_service = streams.entry(entry.service.clone()).or_default();
+                of_service.longest = lifetime.max(of_service.longest);
+                // The order of the routes doesn't matter.
+                of_service.digest ^= rendezvous::hash(key.as_bytes());
+            }
+        }
+        streams
+    }
+
+    /// The lifetimes of streams of each service that are longer by this table than by the `next` one, for the same paths.
+    #[must_use]
+    pub fn lowered(&self, next: &Self) -> LifetimesByService {
+        let mut lowered = LifetimesByService::new();
+        // A path's route may be that of the base path of either table.
+        for base in self.stream_routes().chain(next.stream_routes()) {
+            let Some(before) = self.find_stream(&base.host, &base.base_path) else {
+                continue;
+            };
+            let lifetime = stream_lifetimes::of_timeout(before.timeout);
+            let after = next.find_stream(&base.host, &base.base_path);
+            for entry in before.services.iter().filter(|s| s.weight > 0) {
+                let kept = after.filter(|r| r.leads_to(&entry.service));
+                let kept = kept.map(|r| stream_lifetimes::of_timeout(r.timeout));
+                if kept.unwrap_or_default() < lifetime {
+                    let longest = lowered.entry(entry.service.clone()).or_default();
+                    *longest = lifetime.max(*longest);
+                }
             }
         }
-        lifetimes
+        lowered
+    }
+
+    fn stream_routes(&self) -> impl Iterator<Item = &Arc<Route>> {
+        let routes = self.by_host.values().flat_map(HashMap::values);
+        routes.filter(|r| r.kind.is_stream())
+    }
+
+    fn find_stream(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        self.find(host, path).filter(|r| r.kind.is_stream())
     }
 
     /// Finds the route of `host` with the longest base path that `path` begins with.
--- a/crates/router/tests/routes.rs
+++ b/crates/router/tests/routes.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use jackdawtally::forward::route::{Route, RouteKind, RouteTable, WeightedService};
+use jackdawtally::stream_lifetimes;
 
 fn route(host: &str, base_path: &str) -> Route {
     Route {
@@ -98,3 +99,73 @@
     assert!((8_800..9_200).contains(&counts["x"]), "{counts:?}");
     assert!(!counts.contains_key("z"), "{counts:?}");
 }
+
+fn stream_route(base_path: &str, service: &str, seconds: u64) -> Route {
+    Route {
+        kind: RouteKind::Stream { resumable: true },
+        timeout: Duration::from_secs(seconds),
+        services: vec![WeightedService {
+            service: service.into(),
+            weight: 1,
+        }],
+        ..route("h", base_path)
+    }
+}
+
+/// How long a stream of this path lasts by the table, and the service that it goes to.
+fn stream_of<'a>(table: &'a RouteTable, path: &str) -> Option<(&'a str, Duration)> {
+    let route = table.find("h", path)?;
+    let lifetime = stream_lifetimes::of_timeout(route.timeout);
+    Some((route.services[0].service.as_str(), lifetime))
+}
+
+const BASE_PATHS: [&str; 4] = ["/", "/a/", "/a/b/", "/c/"];
+const PATHS: [&str; 5] = ["/x", "/a/x", "/a/b/x", "/c/x", "/a/c/x"];
+
+/// A table with a route for each base path whose timeout isn't 0; the timeout's parity selects the service.
+fn stream_table(timeouts: &[u8]) -> RouteTable {
+    let routes = BASE_PATHS.iter().zip(timeouts).filter(|(_, t)| **t > 0);
+    RouteTable::new(routes.map(|(base_path, timeout)| {
+        let service = if timeout % 2 == 0 { "even" } else { "odd" };
+        stream_route(base_path, service, (*timeout).into())
+    }))
+}
+
+#[test]
+fn lowered_lifetimes_cover_each_path_whose_streams_may_outlast_its_route() {
+    fn property(before: Vec<u8>, after: Vec<u8>) -> bool {
+        let (before, after) = (stream_table(&before), stream_table(&after));
+        let lowered = before.lowered(&after);
+        let is_covered = |path: &&str| {
+            let Some((service, lifetime)) = stream_of(&before, path) else {
+                return true;
+            };
+            let kept = stream_of(&after, path).filter(|(s, _)| *s == service);
+            let kept = kept.is_some_and(|(_, l)| l >= lifetime);
+            kept || lowered.get(service).is_some_and(|l| *l >= lifetime)
+        };
+        PATHS.iter().all(is_covered)
+    }
+    property::check(property as fn(Vec<u8>, Vec<u8>) -> bool);
+}
+
+#[test]
+fn only_lifetimes_that_a_path_had_before_are_lowered() {
+    let before = RouteTable::new([
+        stream_route("/a/", "s", 8),
+        stream_route("/b/", "s", 60),
+        stream_route("/c/", "t", 5),
+    ]);
+    let after = RouteTable::new([
+        stream_route("/a/", "s", 2),
+        stream_route("/b/", "s", 60),
+        stream_route("/c/", "t", 9),
+    ]);
+
+    let lowered = before.lowered(&after);
+
+    let expected = HashMap::from([("s".into(), Duration::from_secs(16))]);
+    assert_eq!(lowered, expected);
+    assert_ne!(before.streams()["s"].digest, after.streams()["s"].digest);
+    assert_eq!(before.lowered(&before), HashMap::new());
+}
--- a/crates/router/tests/version_records.rs
+++ b/crates/router/tests/version_records.rs
@@ -12,7 +12,9 @@
 };
 use jackdawtally::node::Node;
 use jackdawtally::object::BackendServer;
-use jackdawtally::stream_lifetimes::LifetimesByService;
+use jackdawtally::stream_lifetimes::{
+    LifetimesByService, RecordedLifetimes, ServiceStreams, StreamsByService,
+};
 use tokio::time;
 
 /// Time in which an instance writes what has changed.
@@ -158,14 +160,18 @@
         version: Some(version.into()),
         since_ms,
         position: at(revision),
-        lifetime: None,
+        lifetimes: None,
     }
 }
 
-/// Applies a configuration under which streams of the service last this long.
-fn configure(node: &Node, lifetime: Duration) {
-    let lifetimes = LifetimesByService::from([("s".into(), lifetime)]);
-    node.stream_lifetimes.configure(&lifetimes);
+/// Applies the configuration of this version, under which streams of the service last this long.
+fn configure(node: &Node, version: u64, longest: Duration, lowered: &LifetimesByService) {
+    let streams = ServiceStreams {
+        longest,
+        digest: version,
+    };
+    let streams = StreamsByService::from([("s".into(), streams)]);
+    node.stream_lifetimes.configure(version, streams, lowered);
 }
 
 fn declare(node: &Node, version: &str) {
@@ -380,7 +386,7 @@
 async fn lifetime_is_recorded_until_the_last_stream_of_it_has_ended() {
     let (node, store) = (common::node(), Arc::new(Store::default()));
     store.set_works();
-    configure(&node, LONG);
+    configure(&node, 1, LONG, &LifetimesByService::new());
     declare_at(&node, "v1", 1);
     start(&node, &store);
     time::sleep(WRITE_TIME).await;
@@ -388,25 +394,31 @@
     time::sleep(WRITE_TIME).await;
     let before = store.record().expect("a record");
 
-    configure(&node, SHORT);
+    let lowered = LifetimesByService::from([("s".into(), LONG)]);
+    configure(&node, 2, SHORT, &lowered);
     time::sleep(LONG.saturating_sub(Duration::from_millis(100))).await;
     let meanwhile = store.record().expect("a record");
     time::sleep(WRITE_TIME).await;
     let after = store.record().expect("a record");
 
-    assert_eq!(before.lifetime, Some(LONG));
-    assert_eq!(meanwhile, before);
-    assert_eq!(after.lifetime, Some(SHORT));
+    let lifetimes = |record: &VersionRecord| {
+        let lifetimes = record.lifetimes.expect("lifetimes");
+        (lifetimes.config, lifetimes.longest(), lifetimes.past)
+    };
+    assert_eq!(lifetimes(&before), (1, LONG, Duration::ZERO));
+    assert_eq!(lifetimes(&meanwhile), (2, LONG, LONG));
+    assert_eq!(lifetimes(&after), (2, SHORT, Duration::ZERO));
     // The version is the same as before.
+    assert_eq!(meanwhile.since_ms, before.since_ms);
     assert_eq!(after.since_ms, before.since_ms);
 }
 
-/// An older build replaces a record by one without a lifetime.
+/// An older build replaces a record by one without lifetimes.
 #[tokio::test(start_paused = true)]
-async fn lifetime_that_an_older_build_leaves_out_is_written_again() {
+async fn lifetimes_that_an_older_build_leaves_out_are_written_again() {
     let (node, store) = (common::node(), Arc::new(Store::default()));
     store.set_works();
-    configure(&node, LONG);
+    configure(&node, 1, LONG, &LifetimesByService::new());
     declare_at(&node, "v1", 1);
     start(&node, &store);
     time::sleep(WRITE_TIME).await;
@@ -415,5 +427,30 @@
     time::sleep(WRITE_TIME).await;
 
     let record = store.record().expect("a record");
-    assert_eq!(record.lifetime, Some(LONG));
+    assert_eq!(record.lifetimes.map(|l| l.longest()), Some(LONG));
+}
+
+/// An instance whose configuration is older doesn't replace what a later one says.
+#[tokio::test(start_paused = true)]
+async fn lifetimes_of_a_later_configuration_stay() {
+    let (node, store) = (common::node(), Arc::new(Store::default()));
+    store.set_works();
+    configure(&node, 1, LONG, &LifetimesByService::new());
+    declare_at(&node, "v1", 1);
+    start(&node, &store);
+    time::sleep(WRITE_TIME).await;
+    let mut later = store.record().expect("a record");
+    later.lifetimes = Some(RecordedLifetimes {
+        config: 2,
+        streams: ServiceStreams {
+            longest: SHORT,
+            digest: 2,
+        },
+        past: LONG,
+    });
+
+    store.put(&later);
+    time::sleep(WRITE_TIME).await;
+
+    assert_eq!(store.record(), Some(later));
 }
