--- a/crates/router/tests/version_records.rs
+++ b/crates/router/tests/version_records.rs
@@ -381,15 +381,21 @@
     assert_eq!(store.revision(), Some(2));
 }
 
-/// The store didn't have how long streams could last that had begun under a configuration before the present one.
-#[tokio::test(start_paused = true)]
-async fn lifetime_is_recorded_until_the_last_stream_of_it_has_ended() {
+/// An instance with a configuration of long streams, and the store in which it has recorded them.
+async fn start_configured() -> (Arc<Node>, Arc<Store>) {
     let (node, store) = (common::node(), Arc::new(Store::default()));
     store.set_works();
     configure(&node, 1, LONG, &LifetimesByService::new());
     declare_at(&node, "v1", 1);
     start(&node, &store);
     time::sleep(WRITE_TIME).await;
+    (node, store)
+}
+
+/// The store didn't have how long streams could last that had begun under a configuration before the present one.
+#[tokio::test(start_paused = true)]
+async fn lifetime_is_recorded_until_the_last_stream_of_it_has_ended() {
+    let (node, store) = start_configured().await;
     declare_at(&node, "v2", 2);
     time::sleep(WRITE_TIME).await;
     let before = store.record().expect("a record");
@@ -416,12 +422,7 @@
 /// An older build replaces a record by one without lifetimes.
 #[tokio::test(start_paused = true)]
 async fn lifetimes_that_an_older_build_leaves_out_are_written_again() {
-    let (node, store) = (common::node(), Arc::new(Store::default()));
-    store.set_works();
-    configure(&node, 1, LONG, &LifetimesByService::new());
-    declare_at(&node, "v1", 1);
-    start(&node, &store);
-    time::sleep(WRITE_TIME).await;
+    let (_node, store) = start_configured().await;
 
     store.put(&record_at("v1", 0, 1));
     time::sleep(WRITE_TIME).await;
@@ -433,12 +434,7 @@
 /// An instance whose configuration is older doesn't replace what a later one says.
 #[tokio::test(start_paused = true)]
 async fn lifetimes_of_a_later_configuration_stay() {
-    let (node, store) = (common::node(), Arc::new(Store::default()));
-    store.set_works();
-    configure(&node, 1, LONG, &LifetimesByService::new());
-    declare_at(&node, "v1", 1);
-    start(&node, &store);
-    time::sleep(WRITE_TIME).await;
+    let (_node, store) = start_configured().await;
     let mut later = store.record().expect("a record");
     later.lifetimes = Some(RecordedLifetimes {
         config: 2,
